--- a/cmd/drill/main.go
+++ b/cmd/adapter/main.go
@@ -1,4 +1,4 @@
-// Drill hosts many instances of the decision module on the simulator's wire:
+// Adapter hosts many instances of the decision module on the simulator's wire:
 // batches of events on standard input, replies on standard output.
 package main
 
@@ -7,13 +7,13 @@
 	"io"
 	"os"
 
-	"gingertiller/choice"
-	"gingertiller/internal/wire"
+	"archknot/choice"
+	"archknot/internal/wire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "drill:", err)
+		fmt.Fprintln(os.Stderr, "adapter:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"gingertiller/choice"
+	"archknot/choice"
 )
 
 // setup is the settings object of BORN. Keys it does not name are skipped.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"io"
 	"strconv"
 
-	"gingertiller/choice"
+	"archknot/choice"
 )
 
 // Kind is the kind of an Event.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"gingertiller/choice"
+	"archknot/choice"
 )
 
 // setupText is a small settings object with keys that are not known.
