Serve clients on sockets: the gateway round the decision module

Seen in its logs: some 7,000 lists a second for the first moments. The list's version was 0, and ListQuery took 0 for 'no list yet', so each watch call went out without 'since' and was answered at once.

--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,142 @@
+// Package gateway is the gateway itself: the acceptor, which serves clients;
+// the loop, which owns the decision module; and the tasks that carry out what
+// the module asks for. It never picks, retries or sheds by itself.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/memory"
+	"archknot/internal/wire/socket"
+)
+
+// Options is what a gateway is built with. Package lifecycle reads, checks and
+// defaults all of it.
+type Options struct {
+	Name      string
+	Discovery string // address of the registry
+	Seed      uint64
+	Settings  choice.Settings
+	Known     socket.List // the list as last held, maybe old
+
+	MostHeld       int // requests in hand at once
+	ClientConns    int // client connections at once
+	WorkerConns    int // connections to workers at once
+	BodyBytes      int64
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // a kept connection to a worker is closed after so long
+	ClientIdle     time.Duration // one from a client
+	Stall          time.Duration // a begun stream without an event for so long is given up
+	ProbeTimeout   time.Duration
+	WatchWait      time.Duration // how long the registry may hold a watch call
+	CallTimeout    time.Duration // how much longer an answer of the registry may take
+	LateStart      time.Duration // after which the saved list will do to be ready
+	DrainAccept    time.Duration // how long SIGTERM leaves the listener open
+}
+
+// Gateway serves clients by the decisions of one choice.Balancer.
+type Gateway struct {
+	o        Options
+	clock    clock
+	pool     *memory.Pool
+	registry caller // connections to the registry: apart, that workers' use leaves it one
+	loop     *loop
+	server   *http.Server
+	clients  *clients
+	ready    atomic.Bool
+	draining atomic.Bool
+}
+
+// New returns a gateway, or tells why the module does not take its settings.
+func New(o Options) (*Gateway, error) {
+	g := &Gateway{o: o, clock: newClock(),
+		pool: memory.NewPool(o.WorkerConns, o.ConnIdle, o.ConnectTimeout)}
+	g.registry = caller{pool: memory.NewPool(2, o.ConnIdle, o.CallTimeout)}
+	g.clients = newClients(o.ClientConns, g.clock)
+	var err error
+	if g.loop, err = newLoop(g); err != nil {
+		return nil, err
+	}
+	g.server = g.newServer()
+	return g, nil
+}
+
+// Serve runs the gateway on a listener until Drain has ended it.
+func (g *Gateway) Serve(ctx context.Context, l net.Listener) error {
+	go g.loop.run(ctx)
+	go g.watch(ctx)
+	go g.sweep(ctx)
+	go g.readyLate(ctx)
+	err := g.server.Serve(g.clients.listen(l))
+	if err == http.ErrServerClosed {
+		err = nil
+	}
+	return err
+}
+
+// Drain ends service in order. The listener stays open for a while, because
+// the front goes on handing out connections; what comes is answered, and each
+// answer closes its connection. Then the listener closes, and what is in hand
+// is finished.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	g.server.SetKeepAlivesEnabled(false) // closes idle connections too
+	select {
+	case <-time.After(g.o.DrainAccept):
+	case <-ctx.Done():
+	}
+	return g.server.Shutdown(ctx)
+}
+
+// sweep closes connections that are of no more use.
+func (g *Gateway) sweep(ctx context.Context) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			g.pool.Sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readyLate lets the saved list do when the registry stays silent.
+func (g *Gateway) readyLate(ctx context.Context) {
+	select {
+	case <-time.After(g.o.LateStart):
+		g.loop.post(ctx, lateStart{})
+	case <-ctx.Done():
+	}
+}
+
+// clock is the monotonic clock in microseconds. It starts at the Unix time, so
+// that the start of a worker from before the gateway's own is above 0: a worker
+// still cold when its gateway restarts must count as cold.
+type clock struct {
+	start time.Time
+	base  choice.Micros
+}
+
+func newClock() clock {
+	now := time.Now()
+	return clock{start: now, base: now.UnixMicro()}
+}
+
+func (c clock) now() choice.Micros { return c.base + time.Since(c.start).Microseconds() }
+
+// at is the time of a clock reading.
+func (c clock) at(us choice.Micros) time.Time {
+	return c.start.Add(time.Duration(us-c.base) * time.Microsecond)
+}
+
+// since converts Unix milliseconds.
+func (c clock) since(unixMs int64) choice.Micros {
+	return max(1, c.now()-(time.Now().UnixMicro()-unixMs*1000))
+}
--- /dev/null
+++ b/internal/gateway/loop.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"container/heap"
+	"context"
+	"log"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/memory"
+	"archknot/internal/wire/socket"
+)
+
+// event is something that happened, to be told to the module by the loop.
+type event interface{ apply(l *loop) }
+
+// loop owns the module and all that is kept beside it. Other tasks hand it
+// events; its actions reach them by channels that have room, so that no socket
+// ever holds it up.
+type loop struct {
+	g        *Gateway
+	b        *choice.Balancer
+	events   chan event
+	watches  chan struct{} // orders to the watch task
+	now      choice.Micros // read once a turn
+	timers   timers
+	requests *memory.Requests
+	registry *memory.Registry
+	told     bool // the registry itself has answered
+}
+
+func newLoop(g *Gateway) (*loop, error) {
+	l := &loop{g: g, events: make(chan event, 1024), watches: make(chan struct{}, 1),
+		requests: memory.NewRequests(), registry: memory.NewRegistry()}
+	var err error
+	l.b, err = choice.New(g.o.Settings, g.o.Seed, l)
+	return l, err
+}
+
+// post hands the loop an event.
+func (l *loop) post(ctx context.Context, e event) {
+	select {
+	case l.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+func (l *loop) run(ctx context.Context) {
+	l.now = l.g.clock.now()
+	l.b.Start(l.now)
+	l.list(l.g.o.Known, choice.ListSaved)
+	wake := time.NewTimer(0)
+	defer wake.Stop()
+	for {
+		var first event
+		select {
+		case first = <-l.events:
+		case <-wake.C:
+		case <-ctx.Done():
+			return
+		}
+		l.now = l.g.clock.now()
+		if first != nil {
+			first.apply(l)
+		}
+		for n := len(l.events); n > 0; n-- {
+			(<-l.events).apply(l)
+		}
+		for len(l.timers) > 0 && l.timers[0].at <= l.now {
+			t := heap.Pop(&l.timers).(timer)
+			l.b.TimerFired(l.now, t.token)
+		}
+		if len(l.timers) > 0 {
+			wake.Reset(time.Until(l.g.clock.at(l.timers[0].at)))
+		}
+	}
+}
+
+// The events.
+
+type arrived struct{ r *memory.Request }
+
+func (e arrived) apply(l *loop) {
+	l.requests.Add(e.r)
+	e.r.In.TimeLeft = max(0, e.r.Deadline-l.now)
+	l.b.RequestArrived(l.now, e.r.In)
+}
+
+// left says that a client has gone.
+type left struct{ r *memory.Request }
+
+func (e left) apply(l *loop) {
+	if !e.r.Done {
+		e.r.Done = true
+		l.b.ClientGone(l.now, e.r.ID)
+	}
+	l.requests.Forget(e.r)
+}
+
+// opened says that a delegation's stream has begun. The first one is the
+// client's; any other is of no more use.
+type opened struct{ d *memory.Delegation }
+
+func (e opened) apply(l *loop) {
+	r := e.d.Request
+	if r.Done || r.Bound != nil {
+		e.d.Cancel()
+		return
+	}
+	r.Bound = e.d
+	r.Actions <- memory.Action{Kind: memory.PassOn, Delegation: e.d}
+	l.b.FirstToken(l.now, choice.Outcome{ID: r.ID, Attempt: e.d.N, Replica: e.d.Worker.ID, Elapsed: l.now - e.d.SentAt})
+}
+
+// ended is a delegation's one outcome.
+type ended struct {
+	d      *memory.Delegation
+	status choice.Status
+	kept   int
+	report choice.Report
+}
+
+func (e ended) apply(l *loop) {
+	if !l.requests.Ended(e.d) {
+		return
+	}
+	r := e.d.Request
+	if r.Bound == e.d {
+		r.Done = true
+	}
+	l.b.AttemptEnded(l.now, choice.Outcome{ID: r.ID, Attempt: e.d.N, Replica: e.d.Worker.ID, Status: e.status,
+		Elapsed: l.now - e.d.SentAt, Final: r.Done, Kept: e.kept, Report: e.report})
+	l.requests.Forget(r)
+}
+
+type probed struct {
+	w       *memory.Worker
+	status  choice.Status
+	elapsed choice.Micros
+	report  choice.Report
+}
+
+func (e probed) apply(l *loop) {
+	l.b.ProbeEnded(l.now, choice.Outcome{Replica: e.w.ID, Status: e.status, Elapsed: e.elapsed, Report: e.report})
+}
+
+// listed is an answer of the registry; failed, the lack of one.
+type listed struct{ list socket.List }
+
+func (e listed) apply(l *loop) {
+	kind := choice.ListDelta
+	if e.list.Reset {
+		kind = choice.ListFull
+	}
+	l.list(e.list, kind)
+}
+
+type listFailed struct{ err error }
+
+func (e listFailed) apply(l *loop) {
+	log.Printf("msg=registry_failed err=%q", e.err)
+	l.b.ListChanged(l.now, choice.ServerList{Kind: choice.ListFailed})
+}
+
+func (l *loop) list(in socket.List, kind choice.ListKind) {
+	out, left := l.registry.Apply(in, kind, l.g.clock.since)
+	for _, addr := range left {
+		l.g.pool.CloseIdle(addr)
+	}
+	l.b.ListChanged(l.now, out)
+	if len(in.Instances) > 0 {
+		log.Printf("msg=list kind=%s version=%d entries=%d ready=%d", kindWords[kind], in.Generation, len(in.Instances),
+			l.registry.Ready())
+	}
+	l.told = l.told || kind != choice.ListSaved
+	if l.told {
+		l.setReady()
+	}
+}
+
+var kindWords = map[choice.ListKind]string{choice.ListDelta: "delta", choice.ListFull: "full", choice.ListSaved: "saved"}
+
+type lateStart struct{}
+
+func (lateStart) apply(l *loop) { l.setReady() }
+
+// setReady opens the gateway to the front once a worker can be sent to.
+func (l *loop) setReady() {
+	if l.registry.Ready() > 0 && !l.g.ready.Swap(true) {
+		log.Printf("msg=ready workers=%d from_registry=%t", l.registry.Ready(), l.told)
+	}
+}
+
+// The actions: choice.Sink.
+
+func (l *loop) Dispatch(id choice.RequestID, to choice.ReplicaID, cutAt choice.Micros) {
+	r, w := l.requests.Get(id), l.registry.Worker(to)
+	if r == nil || r.Done || r.Bound != nil {
+		return
+	}
+	if cutAt <= 0 || cutAt > r.Deadline {
+		cutAt = r.Deadline
+	}
+	if w == nil { // the list has changed under the decision: it never ran
+		w = &memory.Worker{ID: to}
+	}
+	r.Actions <- memory.Action{Kind: memory.Delegate, Delegation: l.requests.Delegation(r, w, l.now, cutAt)}
+}
+
+func (l *loop) Refuse(id choice.RequestID, retryAfter choice.Micros) {
+	l.answer(id, memory.Action{Kind: memory.Overload, RetryAfter: retryAfter})
+}
+
+func (l *loop) Fail(id choice.RequestID) { l.answer(id, memory.Action{Kind: memory.Fail}) }
+
+func (l *loop) answer(id choice.RequestID, a memory.Action) {
+	r := l.requests.Get(id)
+	if r == nil || r.Done || r.Bound != nil {
+		return
+	}
+	r.Done = true
+	r.Actions <- a
+	l.requests.Forget(r)
+}
+
+func (l *loop) Cancel(id choice.RequestID, attempt int) {
+	r := l.requests.Get(id)
+	if r == nil || attempt < 0 || attempt >= len(r.Delegations) {
+		return
+	}
+	if d := r.Delegations[attempt]; d != r.Bound { // a begun stream is the client's
+		d.Cancel()
+	}
+}
+
+func (l *loop) SetTimer(delay choice.Micros, token uint64) {
+	heap.Push(&l.timers, timer{at: l.now + delay, token: token})
+}
+
+func (l *loop) Probe(to choice.ReplicaID) {
+	if w := l.registry.Worker(to); w != nil {
+		go l.g.probe(w)
+	}
+}
+
+func (l *loop) WatchRegistry() {
+	select {
+	case l.watches <- struct{}{}:
+	default: // one is ordered already
+	}
+}
+
+// TellPeers is never asked for: lifecycle tells the module that gateways here
+// have no way to each other.
+func (l *loop) TellPeers([]byte) {}
+
+type timer struct {
+	at    choice.Micros
+	token uint64
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/gateway/watch.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/memory"
+	"archknot/internal/wire/socket"
+)
+
+// errConnect marks a call that never reached the other side.
+var errConnect = errors.New("connect")
+
+// caller makes short calls without a body over kept connections.
+type caller struct{ pool *memory.Pool }
+
+// get fetches a path; the whole call takes no longer than the limit.
+func (c caller) get(ctx context.Context, addr, path string, limit time.Duration) (*http.Response, []byte, error) {
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	conn, err := c.pool.Get(ctx, addr)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", errConnect, err)
+	}
+	keep := false
+	unhook := context.AfterFunc(ctx, func() { conn.Close() })
+	defer func() {
+		if unhook() && keep {
+			c.pool.Put(conn)
+		} else {
+			c.pool.Drop(conn)
+		}
+	}()
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
+		return nil, nil, fmt.Errorf("write: %w", err)
+	}
+	resp, err := readHead(conn)
+	if err != nil {
+		return nil, nil, fmt.Errorf("no answer: %w", err)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	if err != nil {
+		return nil, nil, fmt.Errorf("answer cut off: %w", err)
+	}
+	keep = !resp.Close
+	return resp, body, nil
+}
+
+// watch follows the registry whenever the module orders it to, until a call
+// fails: then the module says when to begin again.
+func (g *Gateway) watch(ctx context.Context) {
+	version := g.o.Known.Generation
+	for {
+		select {
+		case <-g.loop.watches:
+		case <-ctx.Done():
+			return
+		}
+		// The first call does not wait: the module is to know at once that the
+		// registry answers, also when nothing has changed.
+		wait := time.Millisecond
+		for {
+			path := socket.ListQuery(version, wait.Milliseconds())
+			list, err := g.fetchList(ctx, path, wait+g.o.CallTimeout)
+			if err != nil {
+				g.loop.post(ctx, listFailed{err})
+				break
+			}
+			version = list.Generation
+			g.loop.post(ctx, listed{list})
+			wait = g.o.WatchWait
+		}
+		select { // orders given while it ran are answered by its failure
+		case <-g.loop.watches:
+		default:
+		}
+	}
+}
+
+func (g *Gateway) fetchList(ctx context.Context, path string, limit time.Duration) (socket.List, error) {
+	resp, body, err := g.registry.get(ctx, g.o.Discovery, path, limit)
+	if err != nil {
+		return socket.List{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return socket.List{}, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return socket.ParseList(body)
+}
+
+// probe asks a worker for its state, and for its load where there are reports.
+func (g *Gateway) probe(w *memory.Worker) {
+	path := socket.LivePath
+	if g.o.Settings.ReportVia != choice.ReportNone {
+		path = socket.StatsPath
+	}
+	start := g.clock.now()
+	e := probed{w: w, status: choice.Served}
+	resp, body, err := caller{g.pool}.get(context.Background(), w.Addr, path, g.o.ProbeTimeout)
+	switch {
+	case errors.Is(err, errConnect):
+		e.status = choice.ConnectFailed
+	case err != nil:
+		e.status = choice.TimedOut
+	case resp.StatusCode != http.StatusOK:
+		e.status = choice.Errored
+	default:
+		if e.report = socket.HeaderLoad(resp.Header); e.report.Has == 0 {
+			e.report = socket.Load(strings.TrimSpace(string(body)))
+		}
+	}
+	e.elapsed = g.clock.now() - start
+	g.loop.events <- e
+}
--- /dev/null
+++ b/internal/lifecycle/config.go
@@ -0,0 +1,203 @@
+// Package lifecycle starts and stops the gateway. It is the one place where
+// configuration is read, checked and given defaults.
+package lifecycle
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/gateway"
+	"archknot/internal/wire"
+	"archknot/internal/wire/socket"
+)
+
+// Config is what a gateway is told, checked and complete.
+type Config struct {
+	Listen   string
+	Cores    int
+	MemoryMB int64
+	Gateway  gateway.Options
+}
+
+// file is the form of NODE_CONFIG. Keys that it does not name are skipped.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    *float64 `json:"cores"`
+		MemoryMB *float64 `json:"memory_mb"`
+		Sockets  *float64 `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Defaults, and the shares of the limits that go to each use.
+const (
+	defaultCores    = 1
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastMemoryMB   = 48
+	leastSockets    = 64
+
+	// Of the sockets, a client's request takes one and its delegations one
+	// each, mostly one in all. The rest is for the listener, the registry, the
+	// log, the runtime and connections that are told that the gateway is full.
+	clientShare, workerShare = 0.42, 0.48
+	// Of the memory, what request bodies may take up at once, and where the
+	// garbage collector begins to work harder.
+	bodyShare, heapShare = 0.2, 0.7
+	// What the operators' front and the protocol allow at a planned restart:
+	// connections come for up to 0.4 s, and nothing may arrive after 0.7 s.
+	drainAccept = 550 * time.Millisecond
+)
+
+// Load reads the configuration: the file that NODE_CONFIG names, and the other
+// variables, which go before it. An error names the key at fault.
+func Load(getenv func(string) string) (Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("NODE_CONFIG: not set; expected the path of the configuration")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("NODE_CONFIG: %v", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return Config{}, fmt.Errorf("NODE_CONFIG: %s: %w", path, jsonError(err))
+	}
+	f.Name = cmp.Or(getenv("NODE_NAME"), f.Name, "gateway")
+	f.Listen = cmp.Or(getenv("NODE_LISTEN"), f.Listen)
+	f.Discovery = cmp.Or(getenv("NODE_DISCOVERY"), f.Discovery)
+	return f.check()
+}
+
+func jsonError(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Errorf("%s: expected a value of type %s, got a %s", wrong.Field, wrong.Type, wrong.Value)
+	}
+	return err
+}
+
+func (f *file) check() (Config, error) {
+	var c Config
+	for _, a := range []struct{ key, value string }{{"listen", f.Listen}, {"discovery", f.Discovery}} {
+		if _, port, err := net.SplitHostPort(a.value); err != nil || port == "" {
+			return c, fmt.Errorf("%s: expected host:port, got %q", a.key, a.value)
+		}
+	}
+	seed, err := strconv.ParseUint(cmp.Or(f.Seed, "1"), 16, 64)
+	if err != nil {
+		return c, fmt.Errorf("seed: expected up to 16 hex digits, got %q", f.Seed)
+	}
+	cores, err := limit("limits.cores", f.Limits.Cores, defaultCores, 0.01)
+	if err != nil {
+		return c, err
+	}
+	memory, err := limit("limits.memory_mb", f.Limits.MemoryMB, defaultMemoryMB, leastMemoryMB)
+	if err != nil {
+		return c, err
+	}
+	sockets, err := limit("limits.sockets", f.Limits.Sockets, defaultSockets, leastSockets)
+	if err != nil {
+		return c, err
+	}
+	c = Config{Listen: f.Listen, Cores: max(1, int(cores)), MemoryMB: int64(memory * heapShare)}
+	o := &c.Gateway
+	if len(f.Settings) == 0 {
+		return c, errors.New("settings: missing")
+	}
+	if o.Settings, err = wire.ParseSettings(f.Settings); err != nil {
+		return c, err
+	}
+	if err := settings(&o.Settings); err != nil {
+		return c, err
+	}
+	o.Known.Generation = socket.NoVersion
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		if o.Known, err = socket.ParseList(f.Known); err != nil {
+			return c, fmt.Errorf("known: %w", err)
+		}
+	}
+	extra, err := readExtra(f.Settings)
+	if err != nil {
+		return c, err
+	}
+	o.Name, o.Discovery, o.Seed = f.Name, f.Discovery, seed
+	o.ClientConns, o.WorkerConns = int(sockets*clientShare), int(sockets*workerShare)
+	o.MostHeld = min(extra.Limits.MostHeld, o.ClientConns)
+	o.BodyBytes = int64(memory * bodyShare * (1 << 20))
+	o.ConnectTimeout = time.Duration(extra.Limits.ConnectTimeoutUs) * time.Microsecond
+	// Well below the workers' own limit: what is written to a connection that
+	// they have closed is lost with it.
+	o.ConnIdle = time.Duration(o.Settings.ConnIdle) * time.Microsecond * 3 / 4
+	o.ClientIdle = 5 * time.Minute
+	o.Stall = 4 * time.Second
+	o.ProbeTimeout = 250 * time.Millisecond
+	o.WatchWait = min(8*time.Second, time.Duration(extra.Rules.AskWithinUs)*time.Microsecond*4/5)
+	o.CallTimeout = 1500 * time.Millisecond
+	o.LateStart = 2 * time.Second
+	o.DrainAccept = drainAccept
+	return c, nil
+}
+
+func limit(key string, given *float64, otherwise, least float64) (float64, error) {
+	if given == nil {
+		return otherwise, nil
+	}
+	if !(*given >= least) {
+		return 0, fmt.Errorf("%s: expected %v or more, got %v", key, least, *given)
+	}
+	return *given, nil
+}
+
+// settings fits the module's settings to sockets.
+func settings(s *choice.Settings) error {
+	for i, c := range s.Classes {
+		if c.Name == "" {
+			return fmt.Errorf("settings.requestClasses[%d].name: missing", i)
+		}
+	}
+	// limits.retryAfter binds the simulator's wire; on sockets the protocol
+	// allows the header, and clients are to be told when to come back.
+	s.RetryAfter = s.MaxRetryAfter > 0
+	// Gateways have no way to talk to each other here.
+	s.MayTellPeers = false
+	return nil
+}
+
+// extraSettings are those that the sockets need and the module does not.
+type extraSettings struct {
+	Limits struct {
+		ConnectTimeoutUs int64 `json:"connectTimeoutUs"`
+		MostHeld         int   `json:"mostHeld"`
+	} `json:"limits"`
+	Rules struct {
+		AskWithinUs int64 `json:"askWithinUs"`
+	} `json:"rules"`
+}
+
+func readExtra(text []byte) (extraSettings, error) {
+	var s extraSettings
+	if err := json.Unmarshal(text, &s); err != nil {
+		return s, fmt.Errorf("settings: %w", jsonError(err))
+	}
+	if s.Limits.ConnectTimeoutUs < 0 || s.Limits.MostHeld < 0 || s.Rules.AskWithinUs < 0 {
+		return s, errors.New("settings.limits.connectTimeoutUs, limits.mostHeld, rules.askWithinUs: expected 0 or more")
+	}
+	s.Limits.ConnectTimeoutUs = cmp.Or(s.Limits.ConnectTimeoutUs, 50_000)
+	s.Limits.MostHeld = cmp.Or(s.Limits.MostHeld, 20_000)
+	s.Rules.AskWithinUs = cmp.Or(s.Rules.AskWithinUs, 10_000_000)
+	return s, nil
+}
--- /dev/null
+++ b/internal/memory/pool.go
@@ -0,0 +1,186 @@
+package memory
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// ErrFull says that the gateway may open no further connection.
+var ErrFull = errors.New("no socket left for a further connection")
+
+// Conn is a connection to a worker or to the registry. One request at a time
+// goes over it.
+type Conn struct {
+	net.Conn
+	R      *bufio.Reader
+	Reused bool // it has carried a request before
+	addr   string
+	usedAt time.Time
+}
+
+// Pool keeps connections for reuse and bounds how many are open.
+type Pool struct {
+	dial  net.Dialer
+	idle  time.Duration // a kept connection is closed after so long
+	most  int           // connections open at once
+	mu    sync.Mutex
+	open  int
+	spare map[string][]*Conn // by address, the one used last at the end
+}
+
+// NewPool returns a pool of at most so many connections. The idle limit must
+// lie below that of the workers, which close what is idle for longer.
+func NewPool(most int, idle, connectTimeout time.Duration) *Pool {
+	return &Pool{dial: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}, idle: idle, most: most, spare: map[string][]*Conn{}}
+}
+
+// Get returns a connection to addr: the one kept that was used last, or a new one.
+func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
+	if c := p.kept(addr); c != nil {
+		return c, nil
+	}
+	if !p.reserve() {
+		return nil, ErrFull
+	}
+	nc, err := p.dial.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	return &Conn{Conn: nc, R: bufio.NewReaderSize(nc, 2048), addr: addr}, nil
+}
+
+func (p *Pool) kept(addr string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for list := p.spare[addr]; len(list) > 0; {
+		c := list[len(list)-1]
+		list = list[:len(list)-1]
+		p.spare[addr] = list
+		if c.fit(p.idle) {
+			c.Reused = true
+			return c
+		}
+		p.closeLocked(c)
+	}
+	return nil
+}
+
+// fit tells whether a kept connection can carry a request. A request written
+// to one that the worker has closed counts as sent and broken, so what is known
+// of the socket is read first.
+func (c *Conn) fit(idle time.Duration) bool {
+	if time.Since(c.usedAt) >= idle || c.R.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN // open, and nothing unasked for to read
+		return true
+	})
+	return err == nil && quiet
+}
+
+// reserve makes room for a new connection, if need be by closing the one that
+// has been idle for longest.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.most {
+		var oldest *Conn
+		for _, list := range p.spare {
+			if len(list) > 0 && (oldest == nil || list[0].usedAt.Before(oldest.usedAt)) {
+				oldest = list[0]
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		p.spare[oldest.addr] = p.spare[oldest.addr][1:]
+		p.closeLocked(oldest)
+	}
+	p.open++
+	return true
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+func (p *Pool) closeLocked(c *Conn) {
+	c.Conn.Close()
+	p.open--
+}
+
+// Put keeps a connection whose exchange is over.
+func (p *Pool) Put(c *Conn) {
+	if c.SetDeadline(time.Time{}) != nil {
+		p.Drop(c)
+		return
+	}
+	c.usedAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spare[c.addr] = append(p.spare[c.addr], c)
+}
+
+// Drop closes a connection that Get returned.
+func (p *Pool) Drop(c *Conn) {
+	c.Conn.Close()
+	p.release()
+}
+
+// CloseIdle closes the kept connections to addr.
+func (p *Pool) CloseIdle(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.spare[addr] {
+		p.closeLocked(c)
+	}
+	delete(p.spare, addr)
+}
+
+// Sweep closes kept connections that are idle for too long or that the other
+// side has ended, so that they hold no socket.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.spare {
+		keep := list[:0]
+		for _, c := range list {
+			if c.fit(p.idle) {
+				keep = append(keep, c)
+			} else {
+				p.closeLocked(c)
+			}
+		}
+		clear(list[len(keep):])
+		if p.spare[addr] = keep; len(keep) == 0 {
+			delete(p.spare, addr)
+		}
+	}
+}
+
+// Open is the number of connections open, kept ones included.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
--- /dev/null
+++ b/internal/memory/registry.go
@@ -0,0 +1,135 @@
+// Package memory holds what the gateway remembers: the workers that the
+// registry names, the connections to them, the requests and delegations out.
+package memory
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"archknot/choice"
+	"archknot/internal/wire/socket"
+)
+
+// Worker is one replica as the registry names it.
+type Worker struct {
+	socket.Instance
+	ID    choice.ReplicaID
+	Since choice.Micros // its last start on the gateway's clock; 0: long ago
+}
+
+// Registry is the registry's list as the gateway holds it. The loop owns it.
+type Registry struct {
+	version int64
+	workers map[string]*Worker // by instanceId
+	byID    map[choice.ReplicaID]*Worker
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{workers: map[string]*Worker{}, byID: map[choice.ReplicaID]*Worker{}}
+}
+
+// Worker is the worker with the module's number, nil if the list has none.
+func (r *Registry) Worker(id choice.ReplicaID) *Worker { return r.byID[id] }
+
+// Ready counts the workers that take work.
+func (r *Registry) Ready() int {
+	n := 0
+	for _, w := range r.workers {
+		if w.State() == choice.MemberReady {
+			n++
+		}
+	}
+	return n
+}
+
+// Apply enters a list and returns the module's form of it, and the addresses
+// that workers have left behind, by their end or a restart. sinceOf converts a
+// start in Unix milliseconds; it is asked once for each start, because a worker
+// whose start seems to move by a few microseconds would seem to start anew.
+func (r *Registry) Apply(l socket.List, kind choice.ListKind, sinceOf func(int64) choice.Micros) (choice.ServerList, []string) {
+	out := choice.ServerList{Kind: kind, Version: l.Generation}
+	r.version = l.Generation
+	old := r.workers
+	next := map[string]*Worker{}
+	if kind == choice.ListDelta {
+		for id, w := range old {
+			next[id] = w
+		}
+	}
+	changed, left := map[string]*Worker{}, []string{}
+	for _, in := range l.Instances {
+		w := &Worker{Instance: in}
+		was := old[in.ID]
+		switch {
+		case was != nil && was.StartedAtMs == in.StartedAtMs:
+			w.Since = was.Since
+		case in.StartedAtMs > 0:
+			w.Since = sinceOf(in.StartedAtMs)
+		}
+		changed[in.ID] = w
+		if w.State() == choice.MemberGone {
+			delete(next, in.ID)
+		} else {
+			next[in.ID] = w
+		}
+	}
+	for id, was := range old {
+		if now := next[id]; now == nil || now.Addr != was.Addr || now.StartedAtMs != was.StartedAtMs {
+			left = append(left, was.Addr)
+		}
+	}
+	r.workers = next
+	moved := r.number(old)
+	if moved && kind == choice.ListDelta {
+		out.Kind, changed = choice.ListFull, next // numbers changed hands: tell everything
+	}
+	for id, w := range changed {
+		if w.State() == choice.MemberGone {
+			if old[id] == nil {
+				continue
+			}
+			w.ID = old[id].ID
+		}
+		out.Members = append(out.Members, choice.Member{Replica: w.ID, State: w.State(), Weight: w.Weight,
+			Cell: w.Cell, Kind: w.Kind, Zone: w.Zone, Since: w.Since})
+	}
+	slices.SortFunc(out.Members, func(a, b choice.Member) int { return int(int64(a.Replica) - int64(b.Replica)) })
+	return out, left
+}
+
+// number gives each worker the module's number for it. The module ranks homes
+// by these, so every gateway must come to the same ones whatever the order in
+// which it heard of the workers: a hash of the name, and where two names share
+// one, the later in the alphabet takes the next hash. It tells whether a worker
+// that stays has changed its number.
+func (r *Registry) number(old map[string]*Worker) bool {
+	names := make([]string, 0, len(r.workers))
+	for id := range r.workers {
+		names = append(names, id)
+	}
+	slices.Sort(names)
+	clear(r.byID)
+	moved := false
+	for _, name := range names {
+		id := replicaID(name, 0)
+		for salt := byte(1); r.byID[id] != nil; salt++ {
+			id = replicaID(name, salt)
+		}
+		w := r.workers[name]
+		moved = moved || old[name] != nil && old[name].ID != id
+		w.ID = id
+		r.byID[id] = w
+	}
+	return moved
+}
+
+// replicaID is a variable so that a test can make names collide.
+var replicaID = func(name string, salt byte) choice.ReplicaID {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	if salt > 0 {
+		h.Write([]byte{0, salt})
+	}
+	return choice.ReplicaID(h.Sum32())
+}
--- /dev/null
+++ b/internal/memory/requests.go
@@ -0,0 +1,111 @@
+package memory
+
+import (
+	"context"
+
+	"archknot/choice"
+)
+
+// ActionKind is what the module, or the binding of a stream, asks of the task
+// that serves a request.
+type ActionKind uint8
+
+const (
+	Delegate ActionKind = iota // send it to a worker
+	PassOn                     // the delegation's stream is the client's
+	Overload                   // answer with an overload reply
+	Fail                       // answer with a failure
+)
+
+// Action is one such order.
+type Action struct {
+	Kind       ActionKind
+	Delegation *Delegation   // for Delegate and PassOn
+	RetryAfter choice.Micros // for Overload; 0: no advice
+}
+
+// Request is a client's request while it is owed an answer or has delegations
+// out. Its task reads Actions; all else belongs to the loop.
+type Request struct {
+	ID          choice.RequestID
+	In          choice.Request
+	Ctx         context.Context // ends when the client leaves or is answered
+	Deadline    choice.Micros   // when the client gives up, on the gateway's clock
+	Actions     chan Action
+	Delegations []*Delegation
+	Bound       *Delegation // whose stream the client gets
+	Done        bool        // finally answered, or the client has left
+	out         int         // delegations that have not ended
+}
+
+// Delegation is one attempt of a request at a worker.
+type Delegation struct {
+	Request *Request
+	N       int
+	Worker  *Worker
+	SentAt  choice.Micros
+	CutAt   choice.Micros
+	Ctx     context.Context
+	Cancel  context.CancelFunc
+	Events  chan []byte // the stream as it comes; closed at its end
+	Whole   bool        // the stream came to its last chunk; set before Events closes
+	ended   bool
+}
+
+// Requests are those in hand, by the module's number. The loop owns it.
+type Requests struct {
+	next choice.RequestID
+	byID map[choice.RequestID]*Request
+}
+
+// NewRequests returns an empty store.
+func NewRequests() *Requests { return &Requests{byID: map[choice.RequestID]*Request{}} }
+
+// NewRequest makes the record of a request. The module sends at most
+// maxAttempts delegations, of which one is bound, and one final answer: so many
+// actions never block the loop.
+func NewRequest(ctx context.Context, in choice.Request, deadline choice.Micros, maxAttempts int) *Request {
+	return &Request{In: in, Ctx: ctx, Deadline: deadline, Actions: make(chan Action, maxAttempts+2)}
+}
+
+// Add numbers a request and takes it in.
+func (s *Requests) Add(r *Request) {
+	for s.byID[s.next] != nil {
+		s.next++
+	}
+	r.ID, r.In.ID = s.next, s.next
+	s.byID[r.ID] = r
+	s.next++
+}
+
+// Get is the request with this number, nil if it is no longer in hand.
+func (s *Requests) Get(id choice.RequestID) *Request { return s.byID[id] }
+
+// Len is the number of requests in hand.
+func (s *Requests) Len() int { return len(s.byID) }
+
+// Delegation enters a new delegation of r.
+func (s *Requests) Delegation(r *Request, w *Worker, now, cutAt choice.Micros) *Delegation {
+	d := &Delegation{Request: r, N: len(r.Delegations), Worker: w, SentAt: now, CutAt: cutAt, Events: make(chan []byte)}
+	d.Ctx, d.Cancel = context.WithCancel(r.Ctx)
+	r.Delegations = append(r.Delegations, d)
+	r.out++
+	return d
+}
+
+// Ended notes the end of a delegation and tells whether it is news.
+func (s *Requests) Ended(d *Delegation) bool {
+	if d.ended {
+		return false
+	}
+	d.ended = true
+	d.Request.out--
+	return true
+}
+
+// Forget drops r once it is answered and nothing is out for it.
+func (s *Requests) Forget(r *Request) {
+	if r.Done && r.out == 0 {
+		delete(s.byID, r.ID)
+	}
+}
--- /dev/null
+++ b/internal/wire/socket/answer.go
@@ -0,0 +1,96 @@
+package socket
+
+import (
+	"bytes"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"archknot/choice"
+	"archknot/internal/wire"
+)
+
+const loadHeader = "Srv-Load"
+
+// Refusal tells what an answer other than 200 means. 'Never ran' only where the
+// worker says so itself: a bare 503 may come from one that began.
+func Refusal(resp *http.Response) choice.Status {
+	if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("Srv-Declined") == "1" {
+		return choice.Shed
+	}
+	return choice.Errored
+}
+
+// Load reads a load report: name=value pairs. What is malformed or unknown is
+// skipped, for a report is only a hint.
+func Load(text string) choice.Report {
+	var r choice.Report
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		if v, err := strconv.ParseFloat(value, 64); err == nil && math.Abs(v) < 1e15 {
+			wire.SetLoad(&r, name, v)
+		}
+	}
+	return r
+}
+
+// HeaderLoad is the load report of an answer's head.
+func HeaderLoad(h http.Header) choice.Report { return Load(h.Get(loadHeader)) }
+
+// maxLine bounds the line that Notes keeps: the two it looks for are short.
+const maxLine = 4096
+
+// Notes picks out of a stream of events, as they pass, what the worker says of
+// itself: prompt tokens found kept, and its load.
+type Notes struct {
+	Kept   int
+	Report choice.Report
+	line   []byte
+	skip   bool // the line is too long to be one of ours
+}
+
+// Write takes the next bytes of the stream.
+func (n *Notes) Write(p []byte) {
+	for len(p) > 0 {
+		i := bytes.IndexByte(p, '\n')
+		part := p
+		if i >= 0 {
+			part = p[:i]
+		}
+		if n.skip = n.skip || len(n.line)+len(part) > maxLine; !n.skip {
+			n.line = append(n.line, part...)
+		}
+		if i < 0 {
+			return
+		}
+		if !n.skip {
+			n.read(bytes.TrimSuffix(n.line, []byte("\r")))
+		}
+		n.line, n.skip = n.line[:0], false
+		p = p[i+1:]
+	}
+}
+
+func (n *Notes) read(line []byte) {
+	if rest, ok := bytes.CutPrefix(line, []byte(": "+loadHeader+":")); ok {
+		n.Report = Load(string(rest))
+		return
+	}
+	rest, ok := bytes.CutPrefix(line, []byte("data:"))
+	if !ok || !bytes.Contains(rest, []byte(`"cached_tokens"`)) {
+		return
+	}
+	var event struct {
+		Usage struct {
+			Details struct {
+				Cached int `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+	}
+	if json.Unmarshal(rest, &event) == nil {
+		n.Kept = event.Usage.Details.Cached
+	}
+}
--- /dev/null
+++ b/internal/wire/socket/registry.go
@@ -0,0 +1,66 @@
+package socket
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"archknot/choice"
+)
+
+// List is the registry's answer, and the saved list of the configuration.
+type List struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"` // the whole list, not changes
+	Instances  []Instance `json:"instances"`
+}
+
+// Instance is one worker as the registry names it.
+type Instance struct {
+	ID          string  `json:"instanceId"`
+	Addr        string  `json:"hostPort"`
+	Zone        string  `json:"zone"`
+	Kind        string  `json:"machineType"`
+	Cell        int64   `json:"cell"`
+	Lifecycle   string  `json:"lifecycle"`
+	Weight      float64 `json:"weight"`
+	StartedAtMs int64   `json:"startedAtMs"` // Unix time; 0: long ago
+}
+
+// State is the worker's state. A word that is not known gets nothing new, as
+// one that drains: sending would be the graver mistake.
+func (i Instance) State() choice.MemberState {
+	switch i.Lifecycle {
+	case "ready":
+		return choice.MemberReady
+	case "gone":
+		return choice.MemberGone
+	}
+	return choice.MemberDraining
+}
+
+// ParseList reads a list.
+func ParseList(text []byte) (List, error) {
+	var l List
+	if err := json.Unmarshal(text, &l); err != nil {
+		return l, fmt.Errorf("list: %v", err)
+	}
+	for _, i := range l.Instances {
+		if i.ID == "" || i.Addr == "" && i.Lifecycle != "gone" {
+			return l, fmt.Errorf("list: entry without instanceId or hostPort")
+		}
+	}
+	return l, nil
+}
+
+// NoVersion stands for having no list yet. A version of 0 is a list: taken for
+// none, each watch call was answered at once with the whole list.
+const NoVersion = -1
+
+// ListQuery asks for the whole list, or with a version for what has changed
+// since, waiting so many milliseconds for it.
+func ListQuery(since, waitMs int64) string {
+	if since < 0 {
+		return ListPath
+	}
+	return fmt.Sprintf("%s?since=%d&timeout_ms=%d", ListPath, since, waitMs)
+}
--- /dev/null
+++ b/internal/wire/socket/request.go
@@ -0,0 +1,140 @@
+// Package socket holds the gateway's own protocols as they are spoken on
+// sockets: what a client's request says, what a worker's answer means, and the
+// registry's list. It opens no connection and decides nothing.
+package socket
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"archknot/choice"
+)
+
+// Paths and limits of the protocol.
+const (
+	JobPath   = "/v1/chat/completions"
+	ReadyPath = "/health/ready"
+	LivePath  = "/health/live"
+	StatsPath = "/stats"
+	ListPath  = "/registry/instances"
+
+	MaxBody = 256 << 10
+)
+
+// charsPerToken is the protocol's size of a token.
+const charsPerToken = 4
+
+// Job is a client's request as its headers tell it.
+type Job struct {
+	ID      string
+	Wait    choice.Micros  // until the client gives up, from its sending; 0: not told
+	Request choice.Request // all but its number and the time left
+}
+
+// ReadJob reads the headers of a client's request. An error is for the client.
+func ReadJob(h http.Header, bodyLen int) (Job, error) {
+	j := Job{ID: h.Get("Req-Id")}
+	if j.ID == "" {
+		return j, errors.New("Req-Id: missing")
+	}
+	var err error
+	if text := h.Get("Req-Deadline"); text != "" {
+		if j.Wait, err = parseWait(text); err != nil {
+			return j, err
+		}
+	}
+	j.Request = choice.Request{Class: h.Get("Req-Kind"), Tenant: h.Get("Req-Owner"),
+		Session: key(h.Get("Req-Key")), PromptTokens: bodyLen / charsPerToken}
+	if err = j.readExtra(h.Get("Req-Extra")); err != nil {
+		return j, err
+	}
+	return j, nil
+}
+
+// parseWait reads a time with its unit: 4800m or 4800000u.
+func parseWait(text string) (choice.Micros, error) {
+	unit := choice.Micros(0)
+	switch text[len(text)-1] {
+	case 'm':
+		unit = 1000
+	case 'u':
+		unit = 1
+	}
+	n, err := strconv.ParseFloat(text[:len(text)-1], 64)
+	if unit == 0 || err != nil || !(n > 0) || n*float64(unit) > math.MaxInt32*1000.0 {
+		return 0, fmt.Errorf("Req-Deadline: expected a number above 0 and its unit m or u, got %.40q", text)
+	}
+	return choice.Micros(n * float64(unit)), nil
+}
+
+// readExtra reads the prompt's particulars: name=value pairs, unknown ones skipped.
+func (j *Job) readExtra(text string) error {
+	if text == "" {
+		return nil
+	}
+	r := &j.Request
+	numbers := map[string]*int{"prompt_len": &r.PromptTokens, "prefix_len": &r.PrefixTokens, "max_out": &r.MaxTokens}
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(pair), "=")
+		if !ok {
+			return fmt.Errorf("Req-Extra: expected name=value pairs, got %.40q", pair)
+		}
+		if name == "prefix" {
+			r.Prefix = key(value)
+		} else if to := numbers[name]; to != nil {
+			n, err := strconv.ParseUint(value, 10, 31)
+			if err != nil {
+				return fmt.Errorf("Req-Extra: %s: expected a whole number, got %.40q", name, value)
+			}
+			*to = int(n)
+		}
+	}
+	return nil
+}
+
+// key is the number of a key: its value where it is 16 hex digits, as on the
+// simulator's wire, else a hash, the same at every gateway.
+func key(text string) uint64 {
+	if text == "" || text == "-" {
+		return 0
+	}
+	if v, err := strconv.ParseUint(text, 16, 64); err == nil && len(text) == 16 {
+		return v
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// notPassed are the headers that belong to the client's connection, or that
+// the gateway writes itself.
+var notPassed = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authorization": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Accept-Encoding": true,
+	"Content-Length": true, "Req-Deadline": true, "Host": true,
+}
+
+// JobHead is the head of the request that goes to a worker: method, path,
+// query and Req-Id unchanged, and how long the gateway will wait.
+func JobHead(r *http.Request, bodyLen int, wait choice.Micros) []byte {
+	var b bytes.Buffer
+	target := r.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = r.URL.RequestURI()
+	}
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, target, r.Host)
+	_ = r.Header.WriteSubset(&b, notPassed) // a bytes.Buffer takes all
+	fmt.Fprintf(&b, "Req-Deadline: %du\r\nContent-Length: %d\r\n\r\n", max(1, wait), bodyLen)
+	return b.Bytes()
+}
+
+// RetryAfter writes a time as the header's seconds, with three decimals.
+func RetryAfter(d choice.Micros) string {
+	return strconv.FormatFloat(float64(d)/1e6, 'f', 3, 64)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -255,24 +255,30 @@
 			p.bad(i, "feedback", "name:number pairs")
 			return r
 		}
-		switch string(name) {
-		case "x0":
-			r.MemoryShare, r.Has = v, r.Has|choice.HasMemory
-		case "x1":
-			r.UnreadK, r.Has = v, r.Has|choice.HasUnread
-		case "busy_reqs":
-			r.InFlight, r.Has = v, r.Has|choice.HasInFlight
-		case "pending":
-			r.Queued, r.Has = v, r.Has|choice.HasQueued
-		case "svc_ms":
-			r.ServiceMs, r.Has = v, r.Has|choice.HasService
-		case "cpu_share":
-			r.Util, r.Has = v, r.Has|choice.HasUtil
-		}
+		SetLoad(&r, string(name), v)
 	}
 	return r
 }
 
+// SetLoad enters one value of a load report under its name on the wire; names
+// that are not known are skipped.
+func SetLoad(r *choice.Report, name string, v float64) {
+	switch name {
+	case "x0":
+		r.MemoryShare, r.Has = v, r.Has|choice.HasMemory
+	case "x1":
+		r.UnreadK, r.Has = v, r.Has|choice.HasUnread
+	case "busy_reqs":
+		r.InFlight, r.Has = v, r.Has|choice.HasInFlight
+	case "pending":
+		r.Queued, r.Has = v, r.Has|choice.HasQueued
+	case "svc_ms":
+		r.ServiceMs, r.Has = v, r.Has|choice.HasService
+	case "cpu_share":
+		r.Util, r.Has = v, r.Has|choice.HasUtil
+	}
+}
+
 // want is the number of parts of each event line, its name included.
 var want = map[string]int{
 	"ON": 2, "BORN": 3, "INVENTORY": 3, "MEMBERS": 4, "JOB_IN": 12, "TIMER": 2, "PROBE_RESULT": 5,
