--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -69,7 +69,12 @@
 	}
 	defer g.clients.leave()
 
-	req := memory.NewRequest(r.Context(), job.Request, sentAt+job.Wait, g.o.Settings.MaxAttempts)
+	req := memory.NewRequest(r.Context(), job.ID, job.Request, sentAt+job.Wait, g.o.Settings.MaxAttempts)
+	answer, delegations := "left", 0
+	defer func() {
+		log.Printf("msg=request id=%s class=%s answer=%s delegations=%d wait_ms=%d total_ms=%d", job.ID, job.Request.Class,
+			answer, delegations, job.Wait/1000, (g.clock.now()-sentAt)/1000)
+	}()
 	g.loop.events <- arrived{req}
 	for {
 		var a memory.Action
@@ -81,11 +86,16 @@
 		}
 		switch a.Kind {
 		case memory.Delegate:
+			delegations++
 			go g.delegate(r, body, a.Delegation)
 		case memory.PassOn:
 			whole := passOn(w, a.Delegation)
 			if r.Context().Err() != nil {
 				g.loop.events <- left{req}
+			} else if whole {
+				answer = "served"
+			} else {
+				answer = "broken"
 			}
 			if !whole {
 				// Closes the connection without the last chunk: the client can
@@ -94,9 +104,11 @@
 			}
 			return
 		case memory.Overload:
+			answer = "overload"
 			overload(w, a.RetryAfter)
 			return
 		case memory.Fail:
+			answer = "failed"
 			http.Error(w, "the request failed", http.StatusBadGateway)
 			return
 		}
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -38,6 +38,7 @@
 		}
 		return choice.ConnectFailed
 	}
+	e.reused = c.Reused
 	keep := false
 	// A cancelled delegation frees its connection at once, whatever waits on it.
 	unhook := context.AfterFunc(d.Ctx, func() { c.Close() })
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -118,8 +118,13 @@
 	status choice.Status
 	kept   int
 	report choice.Report
+	reused bool // over a kept connection
 }
 
+var statusWords = map[choice.Status]string{choice.Served: "served", choice.Errored: "error", choice.Shed: "declined",
+	choice.TimedOut: "timeout", choice.ConnectFailed: "connect_failed", choice.ConnBroken: "reset",
+	choice.Cancelled: "cancelled", choice.NotSent: "not_sent"}
+
 func (e ended) apply(l *loop) {
 	if !l.requests.Ended(e.d) {
 		return
@@ -128,6 +133,10 @@
 	if r.Bound == e.d {
 		r.Done = true
 	}
+	if e.status != choice.Served {
+		log.Printf("msg=delegation id=%s n=%d worker=%s status=%s elapsed_ms=%d streamed=%t reused=%t", r.Name, e.d.N,
+			e.d.Worker.Instance.ID, statusWords[e.status], (l.now-e.d.SentAt)/1000, r.Bound == e.d, e.reused)
+	}
 	l.b.AttemptEnded(l.now, choice.Outcome{ID: r.ID, Attempt: e.d.N, Replica: e.d.Worker.ID, Status: e.status,
 		Elapsed: l.now - e.d.SentAt, Final: r.Done, Kept: e.kept, Report: e.report})
 	l.requests.Forget(r)
--- a/internal/memory/requests.go
+++ b/internal/memory/requests.go
@@ -28,6 +28,7 @@
 // out. Its task reads Actions; all else belongs to the loop.
 type Request struct {
 	ID          choice.RequestID
+	Name        string // the client's own id of it
 	In          choice.Request
 	Ctx         context.Context // ends when the client leaves or is answered
 	Deadline    choice.Micros   // when the client gives up, on the gateway's clock
@@ -64,8 +65,8 @@
 // NewRequest makes the record of a request. The module sends at most
 // maxAttempts delegations, of which one is bound, and one final answer: so many
 // actions never block the loop.
-func NewRequest(ctx context.Context, in choice.Request, deadline choice.Micros, maxAttempts int) *Request {
-	return &Request{In: in, Ctx: ctx, Deadline: deadline, Actions: make(chan Action, maxAttempts+2)}
+func NewRequest(ctx context.Context, name string, in choice.Request, deadline choice.Micros, maxAttempts int) *Request {
+	return &Request{Name: name, In: in, Ctx: ctx, Deadline: deadline, Actions: make(chan Action, maxAttempts+2)}
 }
 
 // Add numbers a request and takes it in.
