Test the gateway against scripted workers and a scripted registry

The stories cover what the protocol promises: events as they come, broken and stalled streams, leaving clients, outcomes by the table, stale connections, the watch, the drain, limits, malformed requests. Two faults were found while writing them and are fixed here: a delegation called off while it connected could still be sent, and before the first event the stall limit could outlast the deadline. Configuration errors name the key.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -72,7 +72,7 @@
 	req := memory.NewRequest(r.Context(), job.ID, job.Request, sentAt+job.Wait, g.o.Settings.MaxAttempts)
 	answer, delegations := "left", 0
 	defer func() {
-		log.Printf("msg=request id=%s class=%s answer=%s delegations=%d wait_ms=%d total_ms=%d", job.ID, job.Request.Class,
+		log.Printf("msg=request id=%q class=%q answer=%s delegations=%d wait_ms=%d total_ms=%d", job.ID, job.Request.Class,
 			answer, delegations, job.Wait/1000, (g.clock.now()-sentAt)/1000)
 	}()
 	g.loop.events <- arrived{req}
@@ -300,6 +300,17 @@
 	}
 }
 
+// closeUnused ends connections on which nothing was ever sent.
+func (c *clients) closeUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		if conn.first.Load() == 0 && conn.idle.Load() == 0 {
+			conn.Close()
+		}
+	}
+}
+
 type listener struct {
 	net.Listener
 	clients *clients
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -49,6 +50,9 @@
 			g.pool.Drop(c)
 		}
 	}()
+	if d.Ctx.Err() != nil { // called off while it connected: nothing may go out any more
+		return choice.Cancelled
+	}
 	c.SetDeadline(cutAt)
 	buffers := net.Buffers{socket.JobHead(r, len(body), d.CutAt-g.clock.now()), body}
 	if _, err := buffers.WriteTo(c.Conn); err != nil {
@@ -67,21 +71,23 @@
 		return socket.Refusal(resp)
 	}
 	var notes socket.Notes
-	for first := true; ; first = false {
-		// A silent machine leaves its connection open: only the clock tells.
-		c.SetDeadline(time.Now().Add(g.o.Stall))
-		buf := make([]byte, 4096)
+	buf, begun := make([]byte, 4096), false
+	for {
 		n, err := resp.Body.Read(buf)
-		if first && (n > 0 || err == io.EOF) {
+		if !begun && (n > 0 || err == io.EOF) {
+			begun = true
 			g.loop.events <- opened{d}
 		}
 		if n > 0 {
 			notes.Write(buf[:n])
 			select {
-			case d.Events <- buf[:n]:
+			case d.Events <- bytes.Clone(buf[:n]):
 			case <-d.Ctx.Done():
 				return choice.Cancelled
 			}
+			// From the first event on no deadline runs, but a silent machine
+			// leaves its connection open: only the clock tells.
+			c.SetDeadline(time.Now().Add(g.o.Stall))
 		}
 		if err == io.EOF {
 			e.kept, e.report = notes.Kept, notes.Report
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,10 @@
 	case <-time.After(g.o.DrainAccept):
 	case <-ctx.Done():
 	}
+	// The server waits seconds for connections that were opened and never used;
+	// by now a request on one would have come.
+	unused := time.AfterFunc(g.o.DrainAccept/4, g.clients.closeUnused)
+	defer unused.Stop()
 	return g.server.Shutdown(ctx)
 }
 
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,359 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/memory"
+	"archknot/internal/wire/socket"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// An event reaches the client before the next one exists; the whole stream
+// comes unchanged, and the next request goes over the same connections.
+func TestEventsPassAsTheyCome(t *testing.T) {
+	more := make(chan struct{})
+	w := newWorker(t, "s-1", func(c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, streamHead+chunk(event1))
+		<-more
+		io.WriteString(c, chunk(event2)+chunk(loadLine)+lastChunk)
+		return true
+	})
+	g := start(t, nil, w)
+	c := dial(t, g.addr)
+	for _, id := range []string{"a1", "a2"} {
+		c.ask(id, "4000m")
+		resp := c.head()
+		first := make([]byte, len(event1))
+		if _, err := io.ReadFull(resp.Body, first); err != nil || string(first) != event1 {
+			t.Fatalf("first event %q, %v", first, err)
+		}
+		more <- struct{}{}
+		rest, err := io.ReadAll(resp.Body)
+		if diff := cmp.Diff(event2+loadLine, string(rest)); err != nil || diff != "" {
+			t.Fatal(err, diff)
+		}
+		until(t, "the delegation's end", func() bool { return g.clients.held.Load() == 0 && len(g.loop.events) == 0 })
+	}
+	r := w.got[1]
+	if r.Method != "POST" || r.RequestURI != "/v1/chat/completions?x=1" || r.Header.Get("Req-Id") != "a2" ||
+		!strings.HasSuffix(r.Header.Get("Req-Deadline"), "u") {
+		t.Errorf("the worker got %s %s %v", r.Method, r.RequestURI, r.Header)
+	}
+	if n, _ := w.seen(); n != 1 {
+		t.Errorf("%d connections for two requests in turn", n)
+	}
+}
+
+// A stream that breaks or stalls ends the client's connection without the last
+// chunk, and nothing more is sent for the request.
+func TestBrokenStreamIsCutOff(t *testing.T) {
+	for name, script := range map[string]func(net.Conn, *http.Request) bool{
+		"breaks": says(streamHead+chunk(event1), false),
+		"stalls": says(streamHead+chunk(event1), true),
+	} {
+		w, other := newWorker(t, "s-1", script), newWorker(t, "s-2", script)
+		g := start(t, func(o *Options) { o.Stall = 100 * time.Millisecond }, w, other)
+		c := dial(t, g.addr)
+		c.ask("b1", "4000m")
+		got, err := io.ReadAll(c.head().Body)
+		if err == nil || string(got) != event1 {
+			t.Errorf("%s: read %q, %v", name, got, err)
+		}
+		_, n := w.seen()
+		_, m := other.seen()
+		if n+m != 1 {
+			t.Errorf("%s: %d sends", name, n+m)
+		}
+	}
+}
+
+// A client that leaves frees the worker's connection at once, before and
+// during the stream.
+func TestLeavingFreesTheWorker(t *testing.T) {
+	for name, text := range map[string]string{"before": "", "during": streamHead + chunk(event1)} {
+		w := newWorker(t, "s-1", says(text, true))
+		g := start(t, nil, w)
+		c := dial(t, g.addr)
+		c.ask("c1", "4000m")
+		until(t, "the send", func() bool { _, n := w.seen(); return n == 1 })
+		if text != "" {
+			c.head()
+		}
+		c.Close()
+		select {
+		case <-w.closed:
+		case <-time.After(2 * time.Second):
+			t.Errorf("%s: the worker's connection stayed", name)
+		}
+		until(t, name+": nothing in hand", func() bool { return g.clients.held.Load() == 0 && g.pool.Open() == 0 })
+	}
+}
+
+// What the module has given up on is answered at once, with the time to come back.
+func TestOverloadReplyComesAtOnce(t *testing.T) {
+	a, b := newWorker(t, "s-1", says(declined, true)), newWorker(t, "s-2", says(declined, true))
+	g := start(t, nil, a, b)
+	c := dial(t, g.addr)
+	begin := time.Now()
+	c.ask("d1", "4000m")
+	resp, _ := c.answer()
+	if took := time.Since(begin); resp.StatusCode != 503 || took > time.Second {
+		t.Errorf("status %d after %v", resp.StatusCode, took)
+	}
+	if after, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s"); err != nil || after <= 0 || after > 2*time.Second {
+		t.Errorf("Retry-After %q", resp.Header.Get("Retry-After"))
+	}
+	_, n := a.seen()
+	_, m := b.seen()
+	if n == 0 || m == 0 || n+m > 3 {
+		t.Errorf("%d and %d sends, want both tried and three at most", n, m)
+	}
+}
+
+// Silent machines hang nothing: the answer comes before the client gives up.
+func TestSilenceIsAnsweredInTime(t *testing.T) {
+	g := start(t, nil, newWorker(t, "s-1", silent), newWorker(t, "s-2", silent))
+	c := dial(t, g.addr)
+	begin := time.Now()
+	c.ask("e1", "300m")
+	resp, _ := c.answer()
+	if took := time.Since(begin); resp.StatusCode != 503 || took > 350*time.Millisecond {
+		t.Errorf("status %d after %v", resp.StatusCode, took)
+	}
+	until(t, "nothing out", func() bool { return g.pool.Open() == 0 })
+}
+
+// One outcome for each way an attempt can go, by the protocol's table.
+func TestOutcomes(t *testing.T) {
+	dead := newWorker(t, "dead", silent)
+	dead.l.Close()
+	for name, c := range map[string]struct {
+		script func(net.Conn, *http.Request) bool
+		addr   string
+		leave  bool
+		want   ended
+	}{
+		"whole":           {script: whole, want: ended{status: choice.Served, kept: 4096, report: choice.Report{Has: choice.HasService | choice.HasInFlight | choice.HasMemory, ServiceMs: 12.5, InFlight: 7, MemoryShare: 0.4}}},
+		"500":             {script: says("HTTP/1.1 500 Oops\r\nSrv-Load: x0=0.5\r\nContent-Length: 2\r\n\r\nno", true), want: ended{status: choice.Errored, report: choice.Report{Has: choice.HasMemory, MemoryShare: 0.5}}},
+		"503 declined":    {script: says(declined, true), want: ended{status: choice.Shed}},
+		"504 declined":    {script: says("HTTP/1.1 504 Over\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", true), want: ended{status: choice.Shed}},
+		"bare 503":        {script: says("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true), want: ended{status: choice.Errored}},
+		"not HTTP":        {script: says("hello\r\n\r\n", false), want: ended{status: choice.ConnBroken}},
+		"ends unanswered": {script: says("", false), want: ended{status: choice.ConnBroken}},
+		"breaks in head":  {script: says("HTTP/1.1 200 OK\r\nConte", false), want: ended{status: choice.ConnBroken}},
+		"breaks in chunk": {script: says(streamHead+"50\r\ndata", false), want: ended{status: choice.ConnBroken}},
+		"nothing":         {script: silent, want: ended{status: choice.TimedOut}},
+		"refused":         {addr: dead.addr, want: ended{status: choice.ConnectFailed}},
+		"called off":      {script: silent, leave: true, want: ended{status: choice.Cancelled}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, err := New(options())
+			if err != nil {
+				t.Fatal(err)
+			}
+			addr := c.addr
+			if addr == "" {
+				addr = newWorker(t, "w", c.script).addr
+			}
+			store := memory.NewRequests()
+			r := memory.NewRequest(context.Background(), "o1", choice.Request{}, 0, 3)
+			store.Add(r)
+			now := g.clock.now()
+			d := store.Delegation(r, &memory.Worker{Instance: socket.Instance{Addr: addr}}, now, now+300_000)
+			if c.leave {
+				time.AfterFunc(50*time.Millisecond, d.Cancel)
+			}
+			go func() {
+				for range d.Events {
+				}
+			}()
+			in, _ := http.NewRequest("POST", "/v1/chat/completions", nil)
+			in.RequestURI = "/v1/chat/completions"
+			go g.delegate(in, []byte("{}"), d)
+			for {
+				e, ok := (<-g.loop.events).(ended)
+				if !ok {
+					continue // opened
+				}
+				e.d = nil
+				if diff := cmp.Diff(c.want, e, cmp.AllowUnexported(ended{})); diff != "" {
+					t.Error(diff)
+				}
+				return
+			}
+		})
+	}
+}
+
+// A connection that its worker has closed while it was kept carries nothing:
+// a request written to it would be lost with it.
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	w := newWorker(t, "s-1", func(c net.Conn, r *http.Request) bool { whole(c, r); return false })
+	g := start(t, nil, w)
+	c := dial(t, g.addr)
+	for _, id := range []string{"f1", "f2", "f3"} {
+		c.ask(id, "4000m")
+		if resp, _ := c.answer(); resp.StatusCode != 200 {
+			t.Errorf("%s: status %d", id, resp.StatusCode)
+		}
+	}
+	if conns, n := w.seen(); conns != 3 || n != 3 {
+		t.Errorf("%d connections, %d requests", conns, n)
+	}
+}
+
+// The watch goes on, a draining worker gets nothing more, and a failed call is
+// followed by another. Version 0 made the watch spin once.
+func TestRegistryIsFollowed(t *testing.T) {
+	a, b := newWorker(t, "s-1", whole), newWorker(t, "s-2", whole)
+	g := start(t, nil, a, b)
+	until(t, "the watch", func() bool { return g.reg.seen() >= 2 })
+	g.reg.change(instance(a, "draining"))
+	until(t, "the watch after a change", func() bool { return g.reg.seen() >= 3 })
+	c := dial(t, g.addr)
+	for range 5 {
+		c.ask("g", "4000m")
+		c.answer()
+	}
+	if _, n := a.seen(); n != 0 {
+		t.Errorf("%d sends to a draining worker", n)
+	}
+	g.reg.mu.Lock()
+	g.reg.fail = 1
+	g.reg.mu.Unlock()
+	g.reg.change() // answered, then the next call fails
+	until(t, "a call after the failed one", func() bool { return g.reg.seen() >= 5 })
+	if n := g.reg.seen(); n > 10 {
+		t.Errorf("%d calls", n)
+	}
+}
+
+// SIGTERM: what comes while the listener is open is answered, a stream is
+// finished, and then the gateway ends.
+func TestDrain(t *testing.T) {
+	more := make(chan struct{})
+	w := newWorker(t, "s-1", func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Req-Id") == "slow" {
+			io.WriteString(c, streamHead+chunk(event1))
+			<-more
+			io.WriteString(c, lastChunk)
+			return true
+		}
+		return whole(c, r)
+	})
+	g := start(t, nil, w)
+	idle, slow, unused := dial(t, g.addr), dial(t, g.addr), dial(t, g.addr)
+	idle.ask("h1", "4000m")
+	idle.answer()
+	slow.ask("slow", "4000m")
+	resp := slow.head()
+	drained := make(chan error, 1)
+	go func() { drained <- g.Drain(context.Background()) }()
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v, want a clean end", err)
+	}
+	late := dial(t, g.addr)
+	late.ask("h2", "4000m")
+	if resp, _ := late.answer(); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("in the drain: status %d, close %t", resp.StatusCode, resp.Close)
+	}
+	if _, err := unused.in.ReadByte(); err != io.EOF {
+		t.Errorf("the unused connection: %v, want a clean end", err)
+	}
+	close(more)
+	if got, err := io.ReadAll(resp.Body); err != nil || string(got) != event1 {
+		t.Errorf("the stream ended with %q, %v", got, err)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+	if err := <-g.served; err != nil {
+		t.Error(err)
+	}
+}
+
+// What is not taken on gets a plain answer.
+func TestMalformedRequests(t *testing.T) {
+	g := start(t, nil, newWorker(t, "s-1", whole))
+	big := strings.Repeat("x", socket.MaxBody+1)
+	for name, c := range map[string]struct {
+		text   string
+		status int
+		says   string
+	}{
+		"other path":    {"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", 404, ""},
+		"other method":  {"GET /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405, ""},
+		"no id":         {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 400, "Req-Id"},
+		"no deadline":   {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n", 400, "Req-Deadline"},
+		"bad deadline":  {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Deadline: soon\r\nContent-Length: 0\r\n\r\n", 400, "Req-Deadline"},
+		"too long":      {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: 262145\r\n\r\n", 413, "262144 bytes"},
+		"long in parts": {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(big), 413, "262144 bytes"},
+		"not HTTP":      {"hello\r\n\r\n", 400, ""},
+		"ready":         {"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", 200, "ready"},
+	} {
+		conn := dial(t, g.addr)
+		conn.raw(c.text)
+		if resp, body := conn.answer(); resp.StatusCode != c.status || !strings.Contains(body, c.says) {
+			t.Errorf("%s: %d %q, want %d %q", name, resp.StatusCode, body, c.status, c.says)
+		}
+	}
+	if g.clients.bytes.Load() != 0 {
+		t.Errorf("%d bytes of bodies still counted", g.clients.bytes.Load())
+	}
+}
+
+// At the limit of connections the idlest makes room; where all are busy, the
+// new one is told so.
+func TestConnectionsAreBounded(t *testing.T) {
+	w := newWorker(t, "s-1", says(streamHead+chunk(event1), true))
+	g := start(t, func(o *Options) { o.ClientConns = 2 }, w)
+	idle := dial(t, g.addr)
+	idle.raw("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+	idle.answer()
+	for _, id := range []string{"i1", "i2"} {
+		c := dial(t, g.addr)
+		c.ask(id, "4000m")
+		if resp := c.head(); resp.StatusCode != 200 {
+			t.Errorf("%s: status %d", id, resp.StatusCode)
+		}
+	}
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection: %v, want its end", err)
+	}
+	c := dial(t, g.addr)
+	c.ask("i3", "4000m")
+	if resp, _ := c.answer(); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("past the limit: %d %v", resp.StatusCode, resp.Header)
+	}
+}
+
+// Before a worker can be sent to, the front is told to wait.
+func TestReadyOnlyWithAWorker(t *testing.T) {
+	g := start(t, nil)
+	until(t, "the registry's answer", func() bool { return g.reg.seen() >= 2 })
+	c := dial(t, g.addr)
+	c.raw("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+	if resp, _ := c.answer(); resp.StatusCode != 503 {
+		t.Errorf("status %d without workers", resp.StatusCode)
+	}
+	g.reg.change(instance(newWorker(t, "s-1", whole), "ready"))
+	until(t, "ready", func() bool { return g.ready.Load() })
+}
+
+// A worker that started shortly before the gateway is still cold: on a clock
+// that began with the gateway its start fell below 0, which means long ago.
+func TestStartsBeforeTheGatewayCount(t *testing.T) {
+	c := newClock()
+	at := c.since(time.Now().Add(-3 * time.Second).UnixMilli())
+	if age := c.now() - at; at <= 0 || age < 2_900_000 || age > 3_500_000 {
+		t.Errorf("started at %d, %d us ago", at, age)
+	}
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -134,7 +134,7 @@
 		r.Done = true
 	}
 	if e.status != choice.Served {
-		log.Printf("msg=delegation id=%s n=%d worker=%s status=%s elapsed_ms=%d streamed=%t reused=%t", r.Name, e.d.N,
+		log.Printf("msg=delegation id=%q n=%d worker=%s status=%s elapsed_ms=%d streamed=%t reused=%t", r.Name, e.d.N,
 			e.d.Worker.Instance.ID, statusWords[e.status], (l.now-e.d.SentAt)/1000, r.Bound == e.d, e.reused)
 	}
 	l.b.AttemptEnded(l.now, choice.Outcome{ID: r.ID, Attempt: e.d.N, Replica: e.d.Worker.ID, Status: e.status,
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -164,10 +164,27 @@
 
 // settings fits the module's settings to sockets.
 func settings(s *choice.Settings) error {
+	switch {
+	case s.Gateways < 1:
+		return fmt.Errorf("settings.nInstances: expected 1 or more, got %d", s.Gateways)
+	case s.Self < 0 || s.Self >= s.Gateways:
+		return fmt.Errorf("settings.selfIndex: expected 0 to %d, got %d", s.Gateways-1, s.Self)
+	case s.MaxAttempts < 1 || s.MaxAttempts > 100:
+		return fmt.Errorf("settings.limits.maxAttempts: expected 1 to 100, got %d", s.MaxAttempts)
+	case s.Tick < 0 || s.ConnIdle <= 0:
+		return errors.New("settings.tickUs, settings.limits.connIdleUs: expected 0 or more, and above 0")
+	case s.ColdFor > 0 && !(s.StartCapacity > 0 && s.StartCapacity <= 1):
+		return fmt.Errorf("settings.rules.startCapacity: expected above 0 and at most 1, got %v", s.StartCapacity)
+	case len(s.Classes) == 0:
+		return errors.New("settings.requestClasses: missing")
+	}
 	for i, c := range s.Classes {
 		if c.Name == "" {
 			return fmt.Errorf("settings.requestClasses[%d].name: missing", i)
 		}
+		if c.Deadline <= 0 || c.Aim < 0 {
+			return fmt.Errorf("settings.requestClasses[%d]: deadlineUs must be above 0 and targetUs not below", i)
+		}
 	}
 	// limits.retryAfter binds the simulator's wire; on sockets the protocol
 	// allows the header, and clients are to be told when to come back.
--- /dev/null
+++ b/internal/lifecycle/config_test.go
@@ -0,0 +1,89 @@
+package lifecycle
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"archknot/choice"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "known":{"generation":0,"reset":true,"instances":[
+  {"instanceId":"s-1","hostPort":"127.0.0.1:9001","zone":"a","machineType":"m2","lifecycle":"ready","weight":1}]},
+ "settings":{"nInstances":1,"zone":"a","limits":{"maxAttempts":3,"connIdleUs":60000000,"connectTimeoutUs":50000,
+   "mostHeld":20000,"maxRetryAfterUs":2000000,"retryAfter":false,"peers":true},"rules":{"askWithinUs":10000000},
+  "requestClasses":[{"name":"chat","targetUs":1000000,"deadlineUs":3000000,"effect":"repeatable","streamed":true}]}}`
+
+func load(t *testing.T, text string, env map[string]string) (Config, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(key string) string {
+		if key == "NODE_CONFIG" {
+			return path
+		}
+		return env[key]
+	})
+}
+
+func TestLoad(t *testing.T) {
+	c, err := load(t, good, map[string]string{"NODE_LISTEN": "127.0.0.2:8081", "NODE_NAME": "n4"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := c.Gateway
+	if c.Listen != "127.0.0.2:8081" || o.Name != "n4" || o.Seed != 0x8c1f30d27a5be964 || c.Cores != 1 {
+		t.Errorf("%+v", c)
+	}
+	if o.ClientConns+o.WorkerConns > 1024-64 || o.MostHeld > o.ClientConns {
+		t.Errorf("sockets: %d and %d of 1024, %d held", o.ClientConns, o.WorkerConns, o.MostHeld)
+	}
+	if o.ConnIdle >= 60*time.Second || o.ConnectTimeout != 50*time.Millisecond || o.WatchWait > 10*time.Second {
+		t.Errorf("idle %v, connect %v, watch %v", o.ConnIdle, o.ConnectTimeout, o.WatchWait)
+	}
+	if !o.Settings.RetryAfter || o.Settings.MayTellPeers || len(o.Known.Instances) != 1 || o.Known.Generation != 0 {
+		t.Errorf("%+v", o)
+	}
+	want := choice.Class{Name: "chat", Aim: 1e6, Deadline: 3e6, Stream: true}
+	if diff := cmp.Diff(want, o.Settings.Classes[0]); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Each message names the key at fault.
+func TestBadKeysAreNamed(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`127.0.0.1:0`, `here`, "listen"},
+		{`127.0.0.1:8500`, ``, "discovery"},
+		{`8c1f30d27a5be964`, `xyz`, "seed"},
+		{`"cores":1.0`, `"cores":0`, "limits.cores"},
+		{`"memory_mb":192`, `"memory_mb":8`, "limits.memory_mb"},
+		{`"sockets":1024`, `"sockets":"many"`, "limits.sockets"},
+		{`"sockets":1024`, `"sockets":10`, "limits.sockets"},
+		{`"hostPort":"127.0.0.1:9001",`, ``, "known"},
+		{`"nInstances":1`, `"nInstances":0`, "settings.nInstances"},
+		{`"maxAttempts":3`, `"maxAttempts":0`, "settings.limits.maxAttempts"},
+		{`"deadlineUs":3000000`, `"deadlineUs":0`, "settings.requestClasses[0]"},
+		{`"effect":"repeatable"`, `"effect":"odd"`, "settings: requestClasses.effect"},
+		{`"name":"chat",`, ``, "settings.requestClasses[0].name"},
+		{`"mostHeld":20000`, `"mostHeld":-1`, "limits.mostHeld"},
+		{`"settings"`, `"setings"`, "settings: missing"},
+		{`{"name":"n3"`, `{"name":"n3`, "NODE_CONFIG"},
+	} {
+		text := strings.Replace(good, c.from, c.to, 1)
+		if _, err := load(t, text, nil); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s -> %s: %v, want %s", c.from, c.to, err, c.want)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "NODE_CONFIG") {
+		t.Errorf("without a path: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/memory/memory_test.go
@@ -0,0 +1,194 @@
+package memory
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/wire/socket"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func entry(id, lifecycle string, started int64) socket.Instance {
+	return socket.Instance{ID: id, Addr: "127.0.0.1:" + id, Lifecycle: lifecycle, StartedAtMs: started}
+}
+
+func numbers(r *Registry) map[string]choice.ReplicaID {
+	out := map[string]choice.ReplicaID{}
+	for name, w := range r.workers {
+		out[name] = w.ID
+	}
+	return out
+}
+
+// Gateways that heard of the same workers in another order agree on their
+// numbers, also where names collide.
+func TestNumbersDoNotDependOnOrder(t *testing.T) {
+	real := replicaID
+	defer func() { replicaID = real }()
+	for name, hash := range map[string]func(string, byte) choice.ReplicaID{
+		"real": real,
+		"all collide": func(name string, salt byte) choice.ReplicaID {
+			if salt == 0 {
+				return 5
+			}
+			return real(name, salt)
+		},
+	} {
+		replicaID = hash
+		names := []string{"s-b", "s-a", "s-d", "s-c"}
+		var want map[string]choice.ReplicaID
+		for range names {
+			names = append(names[1:], names[0])
+			r := NewRegistry()
+			for _, n := range names {
+				r.Apply(socket.List{Instances: []socket.Instance{entry(n, "ready", 0)}}, choice.ListDelta, nil)
+			}
+			got := numbers(r)
+			if want == nil {
+				want = got
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("%s, order %v: %s", name, names, diff)
+			}
+			for _, id := range got {
+				if r.Worker(id) == nil {
+					t.Errorf("%s: no worker %d", name, id)
+				}
+			}
+		}
+	}
+}
+
+func TestListsAndChanges(t *testing.T) {
+	conversions := int64(0)
+	since := func(ms int64) choice.Micros { conversions++; return ms*1000 + conversions }
+	r := NewRegistry()
+	apply := func(kind choice.ListKind, in ...socket.Instance) (map[choice.ReplicaID]choice.MemberState, []string) {
+		out, left := r.Apply(socket.List{Instances: in}, kind, since)
+		states := map[choice.ReplicaID]choice.MemberState{}
+		for _, m := range out.Members {
+			states[m.Replica] = m.State
+		}
+		slices.Sort(left)
+		return states, left
+	}
+	a, b := replicaID("a", 0), replicaID("b", 0)
+	for i, step := range []struct {
+		kind  choice.ListKind
+		in    []socket.Instance
+		want  map[choice.ReplicaID]choice.MemberState
+		left  []string
+		ready int
+	}{
+		{choice.ListSaved, []socket.Instance{entry("a", "ready", 0), entry("b", "ready", 50)},
+			map[choice.ReplicaID]choice.MemberState{a: choice.MemberReady, b: choice.MemberReady}, nil, 2},
+		{choice.ListDelta, []socket.Instance{entry("a", "draining", 0)},
+			map[choice.ReplicaID]choice.MemberState{a: choice.MemberDraining}, nil, 1},
+		{choice.ListDelta, []socket.Instance{entry("a", "gone", 0), entry("never", "gone", 0)},
+			map[choice.ReplicaID]choice.MemberState{a: choice.MemberGone}, []string{"127.0.0.1:a"}, 1},
+		{choice.ListDelta, []socket.Instance{entry("b", "ready", 50)},
+			map[choice.ReplicaID]choice.MemberState{b: choice.MemberReady}, nil, 1},
+		{choice.ListDelta, []socket.Instance{entry("b", "ready", 60)}, // it restarted: its connections are dead
+			map[choice.ReplicaID]choice.MemberState{b: choice.MemberReady}, []string{"127.0.0.1:b"}, 1},
+		{choice.ListFull, []socket.Instance{entry("a", "odd word", 0)},
+			map[choice.ReplicaID]choice.MemberState{a: choice.MemberDraining}, []string{"127.0.0.1:b"}, 0},
+	} {
+		got, left := apply(step.kind, step.in...)
+		if diff := cmp.Diff(step.want, got); diff != "" {
+			t.Errorf("step %d: %s", i, diff)
+		}
+		if !slices.Equal(left, step.left) || r.Ready() != step.ready {
+			t.Errorf("step %d: left %v, ready %d", i, left, r.Ready())
+		}
+	}
+	// A start is converted once: one that moved with the clock's drift would
+	// look like another start, and the worker like a cold one.
+	if conversions != 2 {
+		t.Errorf("%d conversions of two starts", conversions)
+	}
+}
+
+// The pool reuses the connection used last, gives up what is idle for room,
+// and opens no more than it may.
+func TestPoolIsBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := NewPool(2, time.Minute, time.Second)
+	get := func() *Conn {
+		t.Helper()
+		c, err := p.Get(context.Background(), l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	a, b := get(), get()
+	if _, err := p.Get(context.Background(), l.Addr().String()); err != ErrFull {
+		t.Errorf("a third connection: %v", err)
+	}
+	p.Put(a)
+	p.Put(b)
+	if c := get(); c != b || !c.Reused {
+		t.Error("not the connection used last")
+	}
+	p.Put(b)
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	c, err := p.Get(context.Background(), other.Addr().String())
+	if err != nil || p.Open() != 2 {
+		t.Errorf("with two idle: %v, %d open", err, p.Open())
+	}
+	if _, err := a.Write([]byte("x")); err == nil {
+		t.Error("the idlest connection is still open")
+	}
+	p.Drop(c)
+	p.CloseIdle(l.Addr().String())
+	if p.Open() != 0 {
+		t.Errorf("%d open at the end", p.Open())
+	}
+}
+
+// What is idle for too long or closed by the other side holds no socket.
+func TestSweep(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for name, c := range map[string]struct {
+		idle  time.Duration
+		close bool
+		open  int
+	}{"fresh": {time.Minute, false, 1}, "too old": {0, false, 0}, "closed": {time.Minute, true, 0}} {
+		p := NewPool(2, c.idle, time.Second)
+		conn, err := p.Get(context.Background(), l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		far, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.close {
+			far.Close()
+			conn.R.Peek(1) // its end has arrived
+		}
+		p.Put(conn)
+		p.Sweep()
+		if p.Open() != c.open {
+			t.Errorf("%s: %d open, want %d", name, p.Open(), c.open)
+		}
+		far.Close()
+	}
+}
