Advise refused clients by what stands over the limit; end orders of leavers

The formula knew nothing of the request: a chat with an aim of 1 s was told to stay away for as long as that.

choice/guard.go retryAfter now takes the time in which what stands over the request's part of the limit ends, within an eighth to a half of its aim, and scatters it. limits.retryAfter still binds the adapter's wire, so the simulator is not touched by it. The module was checked for refusals held back: settle and refuse answer at once in every path; the deadline timer only ends requests with an attempt out.

Also: an order in the channel of a client that left had no end, so the module counted it as out for ever (loop.go, left); a worker silent for 1 s loses its kept connections unless one was in use since (pool.go, Doubt). Tests were checked by undoing each fix.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -154,7 +154,7 @@
 		return
 	}
 	if b.mayRefuse(r) {
-		b.out.Refuse(r.ID, b.retryAfter())
+		b.out.Refuse(r.ID, b.retryAfter(r))
 	} else {
 		b.out.Fail(r.ID)
 	}
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -29,6 +29,9 @@
 	// paceOver is how many token aims a first token may take beyond its reading
 	// and the least time seen, at the median, before streams count as too slow.
 	paceOver = 1.5
+	// comeBackFirst and comeBackLast bound the advice to a refused client, in
+	// aims: sooner nothing has changed, later the answer would be late.
+	comeBackFirst, comeBackLast = 0.125, 0.5
 )
 
 // ListChanged takes news of the fleet. Rule 3: what drains or is gone gets
@@ -281,13 +284,16 @@
 // what is open lets in again as soon as work ends; a limit on what comes in
 // kept refusing long after the fleet stood idle.
 func (b *Balancer) admit(r *request) bool {
-	v := b.worth(r)
-	mean(&b.worthPerToken, v)
+	mean(&b.worthPerToken, b.worth(r))
 	if b.openLimit == 0 {
 		return true
 	}
-	part := math.Max(leastPart, math.Min(1, v/b.worthPerToken))
-	return b.openTokens+b.random()*b.holdTokens(r) <= part*b.openLimit
+	return b.openTokens+b.random()*b.holdTokens(r) <= b.part(r)*b.openLimit
+}
+
+// part is the part of the limit that r may fill, by its worth.
+func (b *Balancer) part(r *request) float64 {
+	return math.Max(leastPart, math.Min(1, b.worth(r)/b.worthPerToken))
 }
 
 // noteFirst takes the lateness of a request whose answer begins. One whose aim
@@ -348,12 +354,21 @@
 	return b.pace > aim*paceOver
 }
 
-// retryAfter is the hint that goes with a refusal.
-func (b *Balancer) retryAfter() Micros {
+// retryAfter is the hint that goes with a refusal of r: when what stands over
+// r's part of the limit will have ended, at the pace at which requests end. It
+// is kept within a part of r's aim, for an answer past that is worth little, and
+// scattered, so that those refused together do not come back together.
+func (b *Balancer) retryAfter(r *request) Micros {
 	if !b.s.RetryAfter {
 		return 0
 	}
-	return min(b.s.MaxRetryAfter, int64(float64(b.s.MaxRetryAfter)*(0.25+b.late/2)))
+	wait := 0.0
+	if over := b.openTokens + b.holdTokens(r) - b.part(r)*b.openLimit; b.openLimit > 0 && over > 0 {
+		wait = b.lifetime * over / (b.openTokens + b.holdTokens(r))
+	}
+	aim := float64(b.aim(r))
+	wait = math.Max(aim*comeBackFirst, math.Min(aim*comeBackLast, wait)) * (0.75 + 0.5*b.random())
+	return min(b.s.MaxRetryAfter, int64(wait))
 }
 
 // tick is the upkeep.
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -48,6 +48,10 @@
 	conn := g.clients.of(r.Context())
 	sentAt := conn.sentAt() // the deadline runs from the client's sending
 	body, problem := g.readBody(w, r)
+	if problem == errBodies {
+		g.full(w)
+		return
+	}
 	if problem != nil {
 		problem.answer(w)
 		return
@@ -63,8 +67,7 @@
 	}
 	if conn.over || !g.clients.enter(g.o.MostHeld) {
 		log.Printf("msg=full id=%q held=%d", job.ID, g.clients.held.Load())
-		w.Header().Set("Connection", "close")
-		overload(w, g.o.Settings.MaxRetryAfter/2)
+		g.full(w)
 		return
 	}
 	defer g.clients.leave()
@@ -153,12 +156,23 @@
 	return 0, errors.New("Req-Deadline: missing, and Req-Kind names no class that has one")
 }
 
+// full answers where a limit of the gateway's own is reached, of which the
+// module knows nothing.
+func (g *Gateway) full(w http.ResponseWriter) {
+	const retryAfter choice.Micros = 500_000
+	w.Header().Set("Connection", "close")
+	overload(w, min(retryAfter, g.o.Settings.MaxRetryAfter))
+}
+
 // problem is a request that is not taken on.
 type problem struct {
 	status int
 	text   string
 }
 
+// errBodies says that the memory set aside for bodies is taken.
+var errBodies = &problem{http.StatusServiceUnavailable, "full"}
+
 func (p *problem) answer(w http.ResponseWriter) {
 	w.Header().Set("Connection", "close")
 	http.Error(w, p.text, p.status)
@@ -175,7 +189,8 @@
 		size = socket.MaxBody
 	}
 	if !g.clients.take(size, g.o.BodyBytes) {
-		return nil, &problem{http.StatusServiceUnavailable, "overloaded, try again"}
+		log.Printf("msg=bodies_full bytes=%d", g.clients.bytes.Load())
+		return nil, errBodies
 	}
 	out := http.NewResponseController(w)
 	_ = out.SetReadDeadline(time.Now().Add(bodyTimeout))
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -28,6 +28,10 @@
 	g.loop.events <- e
 }
 
+// silence is how long a worker may say nothing before its kept connections
+// are no longer trusted.
+const silence = time.Second
+
 func (g *Gateway) exchange(r *http.Request, body []byte, d *memory.Delegation, e *ended) choice.Status {
 	cutAt := g.clock.at(d.CutAt)
 	ctx, stop := context.WithDeadline(d.Ctx, cutAt)
@@ -59,8 +63,12 @@
 		// The last byte was never written, so the worker did not start.
 		return broken(d, err, choice.ConnectFailed)
 	}
+	sent := time.Now()
 	resp, err := readHead(c)
 	if err != nil {
+		if time.Since(sent) >= silence {
+			g.pool.Doubt(d.Worker.Addr, sent)
+		}
 		return broken(d, err, choice.ConnBroken)
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -64,7 +64,7 @@
 		c := dial(t, g.addr)
 		c.ask("b1", "4000m")
 		got, err := io.ReadAll(c.head().Body)
-		if err == nil || string(got) != event1 {
+		if err != io.ErrUnexpectedEOF || string(got) != event1 {
 			t.Errorf("%s: read %q, %v", name, got, err)
 		}
 		_, n := w.seen()
@@ -97,6 +97,27 @@
 	}
 }
 
+// An order that the task of a leaving client never took up ends all the same:
+// else the module would count it as out for ever.
+func TestOrdersOfALeaverEnd(t *testing.T) {
+	g, err := New(options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := g.loop
+	l.now = g.clock.now()
+	l.list(socket.List{Instances: []socket.Instance{{ID: "s-1", Addr: "127.0.0.1:1", Zone: "a", Kind: "k", Lifecycle: "ready"}}}, choice.ListSaved)
+	r := memory.NewRequest(context.Background(), "l1", choice.Request{Class: "chat"}, l.now+1e6, 3)
+	arrived{r}.apply(l)
+	if len(r.Actions) != 1 {
+		t.Fatalf("%d orders", len(r.Actions))
+	}
+	left{r}.apply(l)
+	if l.requests.Len() != 0 {
+		t.Error("the request is still in hand")
+	}
+}
+
 // What the module has given up on is answered at once, with the time to come back.
 func TestOverloadReplyComesAtOnce(t *testing.T) {
 	a, b := newWorker(t, "s-1", says(declined, true)), newWorker(t, "s-2", says(declined, true))
@@ -197,13 +218,14 @@
 // a request written to it would be lost with it.
 func TestStaleConnectionIsNotUsed(t *testing.T) {
 	w := newWorker(t, "s-1", func(c net.Conn, r *http.Request) bool { whole(c, r); return false })
-	g := start(t, nil, w)
+	g := start(t, func(o *Options) { o.Settings.MaxAttempts = 1 }, w)
 	c := dial(t, g.addr)
 	for _, id := range []string{"f1", "f2", "f3"} {
 		c.ask(id, "4000m")
 		if resp, _ := c.answer(); resp.StatusCode != 200 {
-			t.Errorf("%s: status %d", id, resp.StatusCode)
+			t.Fatalf("%s: status %d", id, resp.StatusCode)
 		}
+		<-w.ended
 	}
 	if conns, n := w.seen(); conns != 3 || n != 3 {
 		t.Errorf("%d connections, %d requests", conns, n)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -94,6 +94,14 @@
 		e.r.Done = true
 		l.b.ClientGone(l.now, e.r.ID)
 	}
+	// Its task has ended: orders that it did not take up have no other end, and
+	// the module would count them as out for ever.
+	for len(e.r.Actions) > 0 {
+		if a := <-e.r.Actions; a.Kind == memory.Delegate {
+			a.Delegation.Cancel()
+			ended{d: a.Delegation, status: choice.NotSent}.apply(l)
+		}
+	}
 	l.requests.Forget(e.r)
 }
 
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -28,6 +28,7 @@
 	conns    int
 	got      []*http.Request
 	closed   chan struct{} // a connection that the other side ended
+	ended    chan struct{} // one that the worker ended
 	script   func(c net.Conn, r *http.Request) bool
 }
 
@@ -37,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &worker{id: id, addr: l.Addr().String(), l: l, script: script, closed: make(chan struct{}, 16)}
+	w := &worker{id: id, addr: l.Addr().String(), l: l, script: script, closed: make(chan struct{}, 16), ended: make(chan struct{}, 64)}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -55,7 +56,10 @@
 }
 
 func (w *worker) serve(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		w.ended <- struct{}{}
+	}()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -100,7 +100,7 @@
 	if g.o.Settings.ReportVia != choice.ReportNone {
 		path = socket.StatsPath
 	}
-	start := g.clock.now()
+	start, begin := g.clock.now(), time.Now()
 	e := probed{w: w, status: choice.Served}
 	resp, body, err := caller{g.pool}.get(context.Background(), w.Addr, path, g.o.ProbeTimeout)
 	switch {
@@ -108,6 +108,7 @@
 		e.status = choice.ConnectFailed
 	case err != nil:
 		e.status = choice.TimedOut
+		g.pool.Doubt(w.Addr, begin)
 	case resp.StatusCode != http.StatusOK:
 		e.status = choice.Errored
 	default:
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -189,6 +189,8 @@
 	// limits.retryAfter binds the simulator's wire; on sockets the protocol
 	// allows the header, and clients are to be told when to come back.
 	s.RetryAfter = s.MaxRetryAfter > 0
+	// On sockets the registry speaks only when asked.
+	s.AskRegistry = true
 	// Gateways have no way to talk to each other here.
 	s.MayTellPeers = false
 	return nil
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -159,6 +159,32 @@
 	}
 }
 
+// A silent machine's kept connections go, unless one was in use since.
+func TestDoubt(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	addr := l.Addr().String()
+	p := NewPool(2, time.Minute, time.Second)
+	for name, c := range map[string]struct {
+		since time.Time
+		open  int
+	}{"used since": {time.Now().Add(-time.Hour), 1}, "not used since": {time.Now().Add(time.Hour), 0}} {
+		conn, err := p.Get(context.Background(), addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Put(conn)
+		p.Doubt(addr, c.since)
+		if p.Open() != c.open {
+			t.Errorf("%s: %d open, want %d", name, p.Open(), c.open)
+		}
+		p.CloseIdle(addr)
+	}
+}
+
 // What is idle for too long or closed by the other side holds no socket.
 func TestSweep(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -157,6 +157,23 @@
 	delete(p.spare, addr)
 }
 
+// Doubt closes the kept connections to addr after it has been silent since a
+// time, unless one of them has been in use later. A machine that vanished leaves
+// its connections open and silent: over a kept one each request waits for
+// seconds, while a new one that does not come up says so at once.
+func (p *Pool) Doubt(addr string, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.spare[addr]
+	if len(list) == 0 || list[len(list)-1].usedAt.After(since) {
+		return
+	}
+	for _, c := range list {
+		p.closeLocked(c)
+	}
+	delete(p.spare, addr)
+}
+
 // Sweep closes kept connections that are idle for too long or that the other
 // side has ended, so that they hold no socket.
 func (p *Pool) Sweep() {
