--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -73,10 +73,10 @@
 	defer g.clients.leave()
 
 	req := memory.NewRequest(r.Context(), job.ID, job.Request, sentAt+job.Wait, g.o.Settings.MaxAttempts)
-	answer, delegations := "left", 0
+	answer, delegations, retryAfter := "left", 0, choice.Micros(0)
 	defer func() {
-		log.Printf("msg=request id=%q class=%q answer=%s delegations=%d wait_ms=%d total_ms=%d", job.ID, job.Request.Class,
-			answer, delegations, job.Wait/1000, (g.clock.now()-sentAt)/1000)
+		log.Printf("msg=request id=%q class=%q key=%016x answer=%s delegations=%d wait_ms=%d total_ms=%d retry_ms=%d", job.ID,
+			job.Request.Class, job.Request.Session, answer, delegations, job.Wait/1000, (g.clock.now()-sentAt)/1000, retryAfter/1000)
 	}()
 	g.loop.events <- arrived{req}
 	for {
@@ -107,7 +107,7 @@
 			}
 			return
 		case memory.Overload:
-			answer = "overload"
+			answer, retryAfter = "overload", a.RetryAfter
 			overload(w, a.RetryAfter)
 			return
 		case memory.Fail:
