Keep all sockets together under the limit; an end without a last chunk is a break

The fault was the constant 'spare' in acceptor.go; shares now come from what is left after 16 (lifecycle/config.go), TestSocketsAddUp holds them to 64, 128 and 1,024.

Also, an answer of status 200 with neither chunks nor a length was taken for whole at the connection's end; TestOutcomes has it as a break now.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -211,10 +211,6 @@
 // bodyTimeout is how long a client may take to send a body.
 const bodyTimeout = 10 * time.Second
 
-// spare is the number of connections accepted past the limit, to be told that
-// the gateway is full and closed.
-const spare = 32
-
 // clients are the connections that the acceptor holds, and what their requests
 // take up.
 type clients struct {
@@ -228,7 +224,7 @@
 	conns map[net.Conn]*clientConn
 }
 
-func newClients(most int, c clock) *clients {
+func newClients(most, spare int, c clock) *clients {
 	return &clients{clock: c, most: most, room: make(chan struct{}, most+spare), conns: map[net.Conn]*clientConn{}}
 }
 
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -102,6 +102,11 @@
 			if e.report.Has == 0 {
 				e.report = socket.HeaderLoad(resp.Header)
 			}
+			// Without chunks or a length the end of the connection ends the
+			// answer, whether the worker was done or died.
+			if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+				return choice.ConnBroken
+			}
 			keep = !resp.Close
 			return choice.Served
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 
 	MostHeld       int // requests in hand at once
 	ClientConns    int // client connections at once
+	SpareConns     int // accepted past them, to be told that the gateway is full
 	WorkerConns    int // connections to workers at once
 	BodyBytes      int64
 	ConnectTimeout time.Duration
@@ -57,7 +58,7 @@
 	g := &Gateway{o: o, clock: newClock(),
 		pool: memory.NewPool(o.WorkerConns, o.ConnIdle, o.ConnectTimeout)}
 	g.registry = caller{pool: memory.NewPool(2, o.ConnIdle, o.CallTimeout)}
-	g.clients = newClients(o.ClientConns, g.clock)
+	g.clients = newClients(o.ClientConns, o.SpareConns, g.clock)
 	var err error
 	if g.loop, err = newLoop(g); err != nil {
 		return nil, err
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -172,6 +172,7 @@
 		"ends unanswered": {script: says("", false), want: ended{status: choice.ConnBroken}},
 		"breaks in head":  {script: says("HTTP/1.1 200 OK\r\nConte", false), want: ended{status: choice.ConnBroken}},
 		"breaks in chunk": {script: says(streamHead+"50\r\ndata", false), want: ended{status: choice.ConnBroken}},
+		"no last chunk":   {script: says("HTTP/1.1 200 OK\r\n\r\n"+event1, false), want: ended{status: choice.ConnBroken}},
 		"nothing":         {script: silent, wait: 100 * time.Millisecond, want: ended{status: choice.TimedOut}},
 		"refused":         {addr: dead.addr, want: ended{status: choice.ConnectFailed}},
 		"called off":      {script: silent, leave: true, want: ended{status: choice.Cancelled}},
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -49,10 +49,12 @@
 	leastMemoryMB   = 48
 	leastSockets    = 64
 
-	// Of the sockets, a client's request takes one and its delegations one
-	// each, mostly one in all. The rest is for the listener, the registry, the
-	// log, the runtime and connections that are told that the gateway is full.
-	clientShare, workerShare = 0.42, 0.48
+	// Of the sockets, some are for the listener, the registry, the log and the
+	// runtime; a part is for connections that are only told that the gateway is
+	// full. Of the rest a client's request takes one, and its delegations one
+	// each, mostly one in all.
+	ownSockets                           = 16
+	clientShare, spareShare, workerShare = 0.44, 0.03, 0.5
 	// Of the memory, what request bodies may take up at once, and where the
 	// garbage collector begins to work harder.
 	bodyShare, heapShare = 0.2, 0.7
@@ -135,7 +137,8 @@
 		return c, err
 	}
 	o.Name, o.Discovery, o.Seed = f.Name, f.Discovery, seed
-	o.ClientConns, o.WorkerConns = int(sockets*clientShare), int(sockets*workerShare)
+	usable := sockets - ownSockets
+	o.ClientConns, o.SpareConns, o.WorkerConns = int(usable*clientShare), int(usable*spareShare), int(usable*workerShare)
 	o.MostHeld = min(extra.Limits.MostHeld, o.ClientConns)
 	o.BodyBytes = int64(memory * bodyShare * (1 << 20))
 	o.ConnectTimeout = time.Duration(extra.Limits.ConnectTimeoutUs) * time.Microsecond
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -43,13 +44,13 @@
 	if c.Listen != "127.0.0.2:8081" || o.Name != "n4" || o.Seed != 0x8c1f30d27a5be964 || c.Cores != 1 {
 		t.Errorf("%+v", c)
 	}
-	if o.ClientConns+o.WorkerConns > 1024-64 || o.MostHeld > o.ClientConns {
-		t.Errorf("sockets: %d and %d of 1024, %d held", o.ClientConns, o.WorkerConns, o.MostHeld)
+	if o.MostHeld > o.ClientConns {
+		t.Errorf("%d requests over %d connections", o.MostHeld, o.ClientConns)
 	}
 	if o.ConnIdle >= 60*time.Second || o.ConnectTimeout != 50*time.Millisecond || o.WatchWait > 10*time.Second {
 		t.Errorf("idle %v, connect %v, watch %v", o.ConnIdle, o.ConnectTimeout, o.WatchWait)
 	}
-	if !o.Settings.RetryAfter || o.Settings.MayTellPeers || len(o.Known.Instances) != 1 || o.Known.Generation != 0 {
+	if !o.Settings.RetryAfter || !o.Settings.AskRegistry || o.Settings.MayTellPeers || len(o.Known.Instances) != 1 || o.Known.Generation != 0 {
 		t.Errorf("%+v", o)
 	}
 	want := choice.Class{Name: "chat", Aim: 1e6, Deadline: 3e6, Stream: true}
@@ -58,6 +59,21 @@
 	}
 }
 
+// All sockets together stay under the limit, the smallest one too: a fixed
+// number of spare ones once made 156 of 128.
+func TestSocketsAddUp(t *testing.T) {
+	for _, most := range []int{64, 128, 1024} {
+		c, err := load(t, strings.Replace(good, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, most), 1), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o := c.Gateway
+		if sum := o.ClientConns + o.SpareConns + o.WorkerConns; sum > most-16 || o.SpareConns < 1 || o.WorkerConns < o.ClientConns {
+			t.Errorf("of %d: clients %d, spare %d, workers %d", most, o.ClientConns, o.SpareConns, o.WorkerConns)
+		}
+	}
+}
+
 // Each message names the key at fault.
 func TestBadKeysAreNamed(t *testing.T) {
 	for _, c := range []struct{ from, to, want string }{
