--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,6 +153,33 @@
 	until(t, "nothing out", func() bool { return g.pool.Open() == 0 })
 }
 
+// Whatever the first worker does, the client gets the other one's answer, and
+// the first one's connection is freed when a second copy has won.
+func TestTheOtherWorkerAnswers(t *testing.T) {
+	for name, bad := range map[string]func(net.Conn, *http.Request) bool{
+		"declined": says(declined, true), "error": says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true),
+		"reset": says("", false), "silent": silent,
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sends atomic.Int32
+			firstIsBad := func(c net.Conn, r *http.Request) bool {
+				if sends.Add(1) == 1 {
+					defer func() { sends.Add(10) }()
+					return bad(c, r)
+				}
+				return whole(c, r)
+			}
+			g := start(t, nil, newWorker(t, "s-1", firstIsBad), newWorker(t, "s-2", firstIsBad))
+			c := dial(t, g.addr)
+			c.ask("m1", "4000m")
+			if resp, body := c.answer(); resp.StatusCode != 200 || !strings.Contains(body, "[DONE]") {
+				t.Errorf("status %d, %q", resp.StatusCode, body)
+			}
+			until(t, "the first worker's end", func() bool { return sends.Load() == 12 })
+		})
+	}
+}
+
 // One outcome for each way an attempt can go, by the protocol's table.
 func TestOutcomes(t *testing.T) {
 	dead := newWorker(t, "dead", silent)
