Test that a registry which falls silent is asked again

The watch call ends after its wait and CallTimeout, the module is told, and the next call brings the change that was made meanwhile; the test fails when the call has no limit of its own.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -291,6 +291,27 @@
 	}
 }
 
+// A registry that falls silent is asked again, and what it tells then counts.
+func TestSilentRegistryIsAskedAgain(t *testing.T) {
+	a, b := newWorker(t, "s-1", whole), newWorker(t, "s-2", whole)
+	g := start(t, func(o *Options) { o.WatchWait, o.CallTimeout = 20*time.Millisecond, 100*time.Millisecond }, a, b)
+	g.reg.mu.Lock()
+	g.reg.mute = 1
+	g.reg.mu.Unlock()
+	until(t, "a call that is not answered", func() bool { g.reg.mu.Lock(); defer g.reg.mu.Unlock(); return g.reg.mute == 0 })
+	calls := g.reg.seen()
+	g.reg.change(instance(a, "draining"))
+	until(t, "calls after the silence", func() bool { return g.reg.seen() >= calls+2 })
+	c := dial(t, g.addr)
+	for range 5 {
+		c.ask("n", "4000m")
+		c.answer()
+	}
+	if _, n := a.seen(); n != 0 {
+		t.Errorf("%d sends to a worker that drained in the silence", n)
+	}
+}
+
 // SIGTERM: what comes while the listener is open is answered, a stream is
 // finished, and then the gateway ends.
 func TestDrain(t *testing.T) {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -125,6 +125,7 @@
 	news  chan struct{}
 	calls []string
 	fail  int // so many calls fail
+	mute  int // so many calls are never answered
 }
 
 func newRegistry(t *testing.T, list socket.List) *registry {
@@ -147,8 +148,16 @@
 	if fail {
 		g.fail--
 	}
+	mute := g.mute > 0
+	if mute {
+		g.mute--
+	}
 	version := g.list.Generation
 	g.mu.Unlock()
+	if mute {
+		<-r.Context().Done()
+		return
+	}
 	if fail {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
