Check a client's head before its body; rude clients hold no place

The logs: 5690 requests of classes that do not exist went to workers, whose errors left 4 of 10 in rest (answer=failed 5621 times); 611 overload replies without a decision (msg=full), as silent connections filled the acceptor; 160 rude clients got neither a word nor a close. Lines at fault: serve read the body first and checked no class; Accept ended only connections that had served (idle > 0), so those never used stayed; ReadHeaderTimeout and bodyTimeout were 10 s; readBody set aside the length that was promised, not what came; nothing noticed an id that is in hand. Ruled out: lack of CPU (at most 0.20 s of a second), memory (16 of 96 MB). Change: head first, then body; 400 for unknown classes, odd ids and numbers, 409 for an id in hand; connect to last byte within 2.5 s; at the limit the connection least missed ends, after a look whether bytes wait on it; lines that clients cause are one a second; who is turned away loses the connection. Found on the way: peek by RawConn.Read waits for the reader; Control does not.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -1,15 +1,13 @@
 package gateway
 
 import (
-	"context"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
 	"log"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"archknot/choice"
@@ -17,31 +15,69 @@
 	"archknot/internal/wire/socket"
 )
 
+// Time limits on what a client sends. Whoever sends nothing that can be served
+// is owed an error or a close within 3 s of connecting.
+const (
+	headTimeout    = 2 * time.Second         // from connecting, or from the head's first bytes
+	requestTimeout = 2500 * time.Millisecond // from the same moment to the body's last byte
+)
+
 // newServer is the acceptor: the client's side of the gateway.
 func (g *Gateway) newServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+socket.JobPath, g.serve)
 	mux.HandleFunc("GET "+socket.ReadyPath, g.serveReady)
+	mux.HandleFunc(socket.JobPath, func(w http.ResponseWriter, _ *http.Request) {
+		g.turnAway(w, &problem{http.StatusMethodNotAllowed, "method: expected POST"})
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		g.turnAway(w, &problem{http.StatusNotFound, "path: unknown"})
+	})
 	framed := func(w http.ResponseWriter, r *http.Request) {
-		if g.clients.of(r.Context()).hiding.Load() {
-			unframed.answer(w)
+		conn := g.clients.of(r.Context())
+		// It stands until the whole request has come: for one that is turned
+		// away, the server reads on for a while, and would wait for ever.
+		_ = http.NewResponseController(w).SetReadDeadline(conn.began().Add(requestTimeout))
+		if conn.hiding.Load() {
+			g.turnAway(w, unframed)
 			return
 		}
 		mux.ServeHTTP(w, r)
 	}
-	return &http.Server{Handler: http.HandlerFunc(framed), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: g.o.ClientIdle,
+	return &http.Server{Handler: http.HandlerFunc(framed), ReadHeaderTimeout: headTimeout, IdleTimeout: g.o.ClientIdle,
 		MaxHeaderBytes: 16 << 10, ConnState: g.clients.state, ConnContext: g.clients.context,
-		ErrorLog: log.New(logWriter{}, "", 0)}
+		ErrorLog: log.New(&logWriter{}, "", 0)}
 }
 
 // logWriter gives the server's own messages the form of the log.
-type logWriter struct{}
+type logWriter struct{ rare rare }
 
-func (logWriter) Write(p []byte) (int, error) {
-	log.Printf("msg=http_server err=%q", p)
+func (l *logWriter) Write(p []byte) (int, error) {
+	l.rare.log("msg=http_server err=%q", p)
 	return len(p), nil
 }
 
+// rare keeps lines that any client can cause to one a second; each tells how
+// many were left out before it.
+type rare struct {
+	mu      sync.Mutex
+	last    time.Time
+	skipped int
+}
+
+func (r *rare) log(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); now.Sub(r.last) < time.Second {
+		r.skipped++
+		return
+	} else {
+		r.last = now
+	}
+	log.Printf(format+" skipped=%d", append(args, r.skipped)...)
+	r.skipped = 0
+}
+
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.ready.Load() || g.draining.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
@@ -54,34 +90,40 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	conn := g.clients.of(r.Context())
 	sentAt := conn.sentAt() // the deadline runs from the client's sending
-	body, problem := g.readBody(w, r)
-	if problem == errBodies {
-		g.full(w)
+	// All that the head tells is checked first: what cannot be served takes up
+	// neither memory nor a worker. A worker turns such a request away as an
+	// error, and errors count against it.
+	job, err := socket.ReadJob(r.Header)
+	if err == nil {
+		err = g.checkClass(&job)
+	}
+	if err != nil {
+		g.turnAway(w, &problem{http.StatusBadRequest, err.Error()})
 		return
 	}
+	body, problem := g.readBody(w, r)
 	if problem != nil {
-		problem.answer(w)
+		g.turnAway(w, problem)
 		return
 	}
 	defer g.clients.free(int64(len(body)))
+	conn.busy.Store(true)
 	if conn.hiding.Load() { // seen in what came behind the head
-		unframed.answer(w)
-		return
-	}
-	job, err := socket.ReadJob(r.Header, len(body))
-	if err == nil && job.Wait == 0 {
-		job.Wait, err = g.classWait(job.Request.Class)
-	}
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		g.turnAway(w, unframed)
 		return
 	}
-	if conn.over || !g.clients.enter(g.o.MostHeld) {
-		log.Printf("msg=full id=%q held=%d", job.ID, g.clients.held.Load())
+	job.BodyLen(len(body))
+	if conn.over || !g.clients.enter(job.ID, g.o.MostHeld) {
+		if g.clients.open(job.ID) {
+			// A second copy of what is out: the worker would run it twice.
+			g.turnAway(w, inHand)
+			return
+		}
+		g.rareFull.log("msg=full id=%q held=%d", job.ID, g.clients.held())
 		g.full(w)
 		return
 	}
-	defer g.clients.leave()
+	defer g.clients.leave(job.ID)
 
 	req := memory.NewRequest(r.Context(), job.ID, job.Request, sentAt+job.Wait, g.o.Settings.MaxAttempts)
 	answer, delegations, retryAfter := "left", 0, choice.Micros(0)
@@ -157,14 +199,16 @@
 	http.Error(w, "overloaded, try again", http.StatusServiceUnavailable)
 }
 
-// classWait is how long clients of a class wait, where a request does not say.
-func (g *Gateway) classWait(name string) (choice.Micros, error) {
+// checkClass turns away classes that the settings do not name, and gives the
+// class's deadline to a request that tells none.
+func (g *Gateway) checkClass(job *socket.Job) error {
 	for _, c := range g.o.Settings.Classes {
-		if c.Name == name {
-			return c.Deadline, nil
+		if c.Name == job.Request.Class {
+			job.Wait = cmp.Or(job.Wait, c.Deadline)
+			return nil
 		}
 	}
-	return 0, errors.New("Req-Deadline: missing, and Req-Kind names no class that has one")
+	return fmt.Errorf("Req-Kind: no class %.40q", job.Request.Class)
 }
 
 // full answers where a limit of the gateway's own is reached, of which the
@@ -181,208 +225,72 @@
 	text   string
 }
 
-// errBodies says that the memory set aside for bodies is taken.
-var errBodies = &problem{http.StatusServiceUnavailable, "full"}
-
-// unframed says that a request's length is in doubt.
-var unframed = &problem{http.StatusBadRequest, "Content-Length, Transfer-Encoding: one of them, once"}
+var (
+	// unframed says that a request's length is in doubt.
+	unframed = &problem{http.StatusBadRequest, "Content-Length, Transfer-Encoding: one of them, once"}
+	inHand   = &problem{http.StatusConflict, "Req-Id: that of a request in hand"}
+	tooLarge = &problem{http.StatusRequestEntityTooLarge, fmt.Sprintf("body: over %d bytes", socket.MaxBody)}
+	// noRoom says that the memory set aside for bodies is taken.
+	noRoom = &problem{http.StatusServiceUnavailable, "full"}
+)
 
-func (p *problem) answer(w http.ResponseWriter) {
+// turnAway answers what is not taken on, and closes the connection: who goes on
+// sending such requests has to connect for each.
+func (g *Gateway) turnAway(w http.ResponseWriter, p *problem) {
+	if p == noRoom {
+		g.rareFull.log("msg=bodies_full bytes=%d", g.clients.bytes.Load())
+		g.full(w)
+		return
+	}
+	g.rareAway.log("msg=turned_away status=%d reason=%q", p.status, p.text)
 	w.Header().Set("Connection", "close")
 	http.Error(w, p.text, p.status)
 }
 
-// readBody reads a request's body, within the protocol's size and the memory
-// set aside for bodies. What it returns must be given back by clients.free.
+// readBody reads a request's body, within the protocol's size and the memory set
+// aside for bodies. What it returns must be given back by clients.free.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem) {
 	if r.ContentLength > socket.MaxBody {
-		return nil, &problem{http.StatusRequestEntityTooLarge, fmt.Sprintf("body: over %d bytes", socket.MaxBody)}
-	}
-	size := r.ContentLength
-	if size < 0 {
-		size = socket.MaxBody
-	}
-	if !g.clients.take(size, g.o.BodyBytes) {
-		log.Printf("msg=bodies_full bytes=%d", g.clients.bytes.Load())
-		return nil, errBodies
-	}
-	out := http.NewResponseController(w)
-	_ = out.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, socket.MaxBody))
-	_ = out.SetReadDeadline(time.Time{})
-	g.clients.free(size - int64(len(body)))
-	if err == nil {
-		return body, nil
-	}
-	g.clients.free(int64(len(body)))
-	var over *http.MaxBytesError
-	if errors.As(err, &over) {
-		return nil, &problem{http.StatusRequestEntityTooLarge, fmt.Sprintf("body: over %d bytes", socket.MaxBody)}
+		return nil, tooLarge
 	}
-	return nil, &problem{http.StatusBadRequest, "body: incomplete"}
-}
-
-// bodyTimeout is how long a client may take to send a body.
-const bodyTimeout = 10 * time.Second
-
-// clients are the connections that the acceptor holds, and what their requests
-// take up.
-type clients struct {
-	clock clock
-	most  int
-	room  chan struct{}
-	held  atomic.Int64 // requests in hand
-	bytes atomic.Int64 // of bodies held
-
-	mu    sync.Mutex
-	conns map[net.Conn]*clientConn
-}
-
-func newClients(most, spare int, c clock) *clients {
-	return &clients{clock: c, most: most, room: make(chan struct{}, most+spare), conns: map[net.Conn]*clientConn{}}
-}
-
-func (c *clients) enter(most int) bool {
-	if c.held.Add(1) > int64(most) {
-		c.held.Add(-1)
-		return false
-	}
-	return true
-}
-
-func (c *clients) leave() { c.held.Add(-1) }
-
-func (c *clients) take(n, most int64) bool {
-	if c.bytes.Add(n) > most {
-		c.bytes.Add(-n)
-		return false
-	}
-	return true
-}
-
-func (c *clients) free(n int64) { c.bytes.Add(-n) }
-
-// clientConn notes when a request's first byte came: the server's handler
-// starts later, after a wait for the core.
-type clientConn struct {
-	net.Conn
-	clients *clients
-	over    bool // accepted past the limit
-	first   atomic.Int64
-	idle    atomic.Int64 // since when; 0: it has a request
-	closed  sync.Once
-	framing socket.Framing // of all that was read; only Read writes to it
-	hiding  atomic.Bool    // the framing has a doubt: nothing more is taken from it
-}
-
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && c.first.Load() == 0 {
-		c.first.Store(c.clients.clock.now())
-	}
-	// The server drops a Content-Length beside a Transfer-Encoding without a
-	// word: which of the two counts is in doubt, and with it where the next
-	// request begins. Only here are both seen, and before the server sees them.
-	if c.framing.Write(p[:n]); c.framing.Doubt != "" {
-		c.hiding.Store(true)
-	}
-	return n, err
-}
-
-func (c *clientConn) Close() error {
-	c.closed.Do(func() { <-c.clients.room })
-	return c.Conn.Close()
-}
-
-// CloseWrite lets the server end a connection without a reset.
-func (c *clientConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		return t.CloseWrite()
-	}
-	return nil
-}
-
-func (c *clientConn) sentAt() choice.Micros {
-	if at := c.first.Load(); at > 0 {
-		return at
-	}
-	return c.clients.clock.now()
-}
-
-type connKey struct{}
-
-func (c *clients) context(ctx context.Context, nc net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, nc)
-}
-
-func (c *clients) of(ctx context.Context) *clientConn { return ctx.Value(connKey{}).(*clientConn) }
-
-// state follows a connection for the server.
-func (c *clients) state(nc net.Conn, s http.ConnState) {
-	conn := nc.(*clientConn)
-	switch s {
-	case http.StateActive:
-		conn.idle.Store(0)
-	case http.StateIdle:
-		conn.first.Store(0)
-		conn.idle.Store(c.clock.now())
-	case http.StateClosed, http.StateHijacked:
-		c.mu.Lock()
-		delete(c.conns, nc)
-		c.mu.Unlock()
+	body, problem := g.clients.read(http.MaxBytesReader(w, r.Body, socket.MaxBody), r.ContentLength, g.o.BodyBytes)
+	if problem != nil {
+		g.clients.free(int64(cap(body)))
+		return nil, problem
 	}
+	g.clients.free(int64(cap(body) - len(body)))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, nil
 }
 
-// closeUnused ends connections on which nothing was ever sent.
-func (c *clients) closeUnused() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.conns {
-		if conn.first.Load() == 0 && conn.idle.Load() == 0 {
-			conn.Close()
+// read reads to the end. Memory is taken for what has come, no more than half
+// ahead: a length that is only promised costs nothing. The caller gives back
+// what the slice can hold.
+func (c *clients) read(in io.Reader, length, most int64) ([]byte, *problem) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			more := max(4<<10, 2*cap(body))
+			if length >= 0 {
+				more = min(more, int(length)+1) // one more, to see the end
+			}
+			if !c.take(int64(more-cap(body)), most) {
+				return body, noRoom
+			}
+			grown := make([]byte, len(body), more)
+			copy(grown, body)
+			body = grown
 		}
-	}
-}
-
-type listener struct {
-	net.Listener
-	clients *clients
-}
-
-func (c *clients) listen(l net.Listener) net.Listener { return &listener{l, c} }
-
-// Accept takes the next connection. At the limit it ends the one that has been
-// idle for longest, as the protocol allows between requests; where none is
-// idle, the new one is told that the gateway is full.
-func (l *listener) Accept() (net.Conn, error) {
-	c := l.clients
-	c.room <- struct{}{}
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		<-c.room
-		return nil, err
-	}
-	conn := &clientConn{Conn: nc, clients: c}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.conns) >= c.most {
-		conn.over = !c.closeIdlest()
-	}
-	c.conns[conn] = conn
-	return conn, nil
-}
-
-func (c *clients) closeIdlest() bool {
-	var idlest *clientConn
-	since := int64(0)
-	for _, conn := range c.conns {
-		if at := conn.idle.Load(); at > 0 && (idlest == nil || at < since) {
-			idlest, since = conn, at
+		n, err := in.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		var over *http.MaxBytesError
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case errors.As(err, &over):
+			return body, tooLarge
+		case err != nil:
+			return body, &problem{http.StatusBadRequest, "body: incomplete"}
 		}
 	}
-	if idlest != nil {
-		delete(c.conns, idlest)
-		idlest.Close()
-	}
-	return idlest != nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,8 @@
 	loop     *loop
 	server   *http.Server
 	clients  *clients
+	rareFull rare // lines that clients can cause at will
+	rareAway rare
 	ready    atomic.Bool
 	draining atomic.Bool
 }
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -78,22 +79,32 @@
 	if time.Since(c.usedAt) >= idle || c.R.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	_, err := peek(c.Conn)
+	return err == syscall.EAGAIN // open, and nothing unasked for to read
+}
+
+// Waiting tells whether bytes have come that were not read yet.
+func Waiting(c net.Conn) bool {
+	n, err := peek(c)
+	return err == nil && n > 0
+}
+
+// peek looks at what can be read from a connection now: EAGAIN says nothing.
+func peek(c net.Conn) (n int, err error) {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, for Read would wait for whoever is reading.
+	gone := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = e == syscall.EAGAIN // open, and nothing unasked for to read
-		return true
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	return n, cmp.Or(gone, err)
 }
 
 // reserve makes room for a new connection, if need be by closing the one that
--- a/internal/wire/socket/framing.go
+++ b/internal/wire/socket/framing.go
@@ -11,6 +11,7 @@
 // hidden in its body. It keeps a few bytes and copies none.
 type Framing struct {
 	Doubt string // what is in doubt; from then on nothing is followed
+	Heads int    // whole heads that have come
 
 	at      part
 	line    []byte // the line so far, no more than framingLine bytes of it
@@ -75,7 +76,7 @@
 		f.at = inChunkEnd
 		return
 	}
-	*f = Framing{line: f.line[:0]}
+	*f = Framing{line: f.line[:0], Heads: f.Heads}
 }
 
 // take takes a whole line.
@@ -137,6 +138,7 @@
 
 // body finds out what follows a head.
 func (f *Framing) body() {
+	f.Heads++
 	switch {
 	case f.lengths+f.chunked > 1:
 		f.Doubt = "two lengths"
