Read workers' answers with bounds; tell spoilt streams and rejected requests apart

Checked in the code: http.ReadResponse has no limit on a head, its chunk reader takes any length, and gives out a chunk before it is known to fit; 1xx answers were read without end; a report with one bad figure was used in part; kept connections were filed by address, so that a new worker at the address of one that has gone got its connections; Put kept a connection with bytes behind. Change: socket.ReadHead and socket.Body read with bounds, a chunk is passed on once it has come whole; a head has 0.5 s from its first byte. The module learns Spoilt (weighs, no rest) and Rejected (fails the request, no worker at fault). Connections are filed by the process. A report is used whole or not at all.

--- a/choice/api.go
+++ b/choice/api.go
@@ -179,6 +179,8 @@
 	ConnBroken           // may have run
 	Cancelled            // may have run
 	NotSent              // never ran
+	Spoilt               // may have run; what came back cannot be read
+	Rejected             // the request itself is at fault, wherever it goes
 )
 
 // NeverRan tells whether the status proves that the attempt had no effect.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -270,11 +270,15 @@
 	if o.Status == ConnectFailed {
 		r.avoidZone = a.row.zone
 	}
-	if o.Status != TimedOut && b.mayRetry(o.Status) {
+	switch {
+	case o.Status == Rejected: // no worker is at fault, and none would take it
+		b.out.Fail(r.ID)
+		b.end(r)
+	case o.Status != TimedOut && b.mayRetry(o.Status):
 		b.dispatch(now, r)
-		return
+	default:
+		b.settle(r)
 	}
-	b.settle(r)
 }
 
 // ClientGone tells that the client of a request left; nothing is owed.
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -216,6 +216,8 @@
 		w.errors *= 0.8
 	case Errored, ConnectFailed, ConnBroken:
 		b.failed(now, w, o.Status)
+	case Spoilt: // from a good worker too: weighs, but is no reason to rest
+		w.errors += 0.2 * (1 - w.errors)
 	case Shed:
 		// Full: what its last report said is wrong. Take it for as loaded as
 		// twice the fleet until a newer report comes.
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -637,3 +637,21 @@
 		t.Fatalf("%d sent to the zone after a success there", n)
 	}
 }
+
+// A spoilt stream may come from any worker, and a rejected request speaks of
+// itself: neither has a worker rest, and the second is tried nowhere else.
+func TestSpoiltAndRejectedLeaveTheWorkerInUse(t *testing.T) {
+	for status, want := range map[Status]string{Spoilt: "dispatch", Rejected: "fail"} {
+		b, rec := start(t, settings(), fleet(2)...)
+		b.RequestArrived(101*sec, req(1))
+		w := b.requests[1].attempts[0].row
+		rec.acts = nil
+		b.AttemptEnded(101*sec, Outcome{ID: 1, Replica: w.id, Status: status})
+		if n := len(rec.take(want)); n != 1 {
+			t.Errorf("status %d: %d times %s", status, n, want)
+		}
+		if r := (&request{Request: req(2), tenant: -1, avoidZone: -1}); !b.usable(101*sec, w, r, false) {
+			t.Errorf("status %d: the worker rests", status)
+		}
+	}
+}
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -36,7 +37,7 @@
 	cutAt := g.clock.at(d.CutAt)
 	ctx, stop := context.WithDeadline(d.Ctx, cutAt)
 	defer stop()
-	c, err := g.pool.Get(ctx, d.Worker.Addr)
+	c, err := g.pool.Get(ctx, d.Worker.Key(), d.Worker.Addr)
 	if err != nil {
 		if d.Ctx.Err() != nil {
 			return choice.Cancelled
@@ -64,32 +65,36 @@
 		return broken(d, err, choice.ConnectFailed)
 	}
 	sent := time.Now()
-	resp, err := readHead(c)
+	resp, err := readHead(c, cutAt)
 	if err != nil {
 		if time.Since(sent) >= silence {
-			g.pool.Doubt(d.Worker.Addr, sent)
+			g.pool.Doubt(d.Worker.Key(), sent)
 		}
 		return broken(d, err, choice.ConnBroken)
 	}
+	in := socket.NewBody(c.R, resp)
+	// Bytes behind an answer would be taken for the next one's.
+	whole := func() bool { return in.Ends() && !resp.Close && c.R.Buffered() == 0 }
 	if resp.StatusCode != http.StatusOK {
-		e.report = socket.HeaderLoad(resp.Header)
+		e.report, e.code = socket.HeaderLoad(resp.Header), resp.StatusCode
 		c.SetDeadline(time.Now().Add(time.Second))
-		_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, socket.MaxBody))
-		keep = err == nil && !resp.Close
-		return socket.Refusal(resp)
+		_, err := in.ReadAll(socket.MaxBody)
+		status := socket.Refusal(resp)
+		// A worker that cannot use a request may close on what follows it.
+		keep = err == nil && whole() && status != choice.Rejected
+		return status
 	}
 	var notes socket.Notes
-	buf, begun := make([]byte, 4096), false
-	for {
-		n, err := resp.Body.Read(buf)
-		if !begun && (n > 0 || err == io.EOF) {
+	for begun := false; ; {
+		events, err := in.Next()
+		if !begun && (len(events) > 0 || err == io.EOF) {
 			begun = true
 			g.loop.events <- opened{d}
 		}
-		if n > 0 {
-			notes.Write(buf[:n])
+		if len(events) > 0 {
+			notes.Write(events)
 			select {
-			case d.Events <- bytes.Clone(buf[:n]):
+			case d.Events <- bytes.Clone(events):
 			case <-d.Ctx.Done():
 				return choice.Cancelled
 			}
@@ -102,12 +107,10 @@
 			if e.report.Has == 0 {
 				e.report = socket.HeaderLoad(resp.Header)
 			}
-			// Without chunks or a length the end of the connection ends the
-			// answer, whether the worker was done or died.
-			if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			if !in.Ends() {
 				return choice.ConnBroken
 			}
-			keep = !resp.Close
+			keep = whole()
 			return choice.Served
 		}
 		if err != nil {
@@ -116,21 +119,43 @@
 	}
 }
 
-// readHead reads the head of the final answer.
-func readHead(c *memory.Conn) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(c.R, nil)
+// headTime is how long a head may take from its first byte: it comes in one
+// piece, and one that does not end would use up the request's time.
+const headTime = 500 * time.Millisecond
+
+// readHead waits for an answer and reads its head.
+func readHead(c *memory.Conn, cutAt time.Time) (*http.Response, error) {
+	for infos := 0; ; infos++ {
+		if _, err := c.R.Peek(1); err != nil {
+			return nil, err
+		}
+		if by := time.Now().Add(headTime); by.Before(cutAt) {
+			c.SetDeadline(by)
+		}
+		resp, err := socket.ReadHead(c.R)
+		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(cutAt) {
+			err = socket.ErrSpoilt
+		}
+		c.SetDeadline(cutAt)
 		if err != nil || resp.StatusCode >= 200 {
 			return resp, err
 		}
+		if infos >= maxInfos {
+			return nil, fmt.Errorf("%w: over %d answers before the answer", socket.ErrSpoilt, maxInfos)
+		}
 	}
 }
 
+// maxInfos bounds the 1xx answers before the answer.
+const maxInfos = 8
+
 // broken tells what the end of a connection means for a delegation.
 func broken(d *memory.Delegation, err error, otherwise choice.Status) choice.Status {
 	switch {
 	case d.Ctx.Err() != nil:
 		return choice.Cancelled
+	case errors.Is(err, socket.ErrSpoilt):
+		return choice.Spoilt
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return choice.TimedOut
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -194,11 +194,22 @@
 		want   ended
 	}{
 		"whole":           {script: whole, want: ended{status: choice.Served, kept: 4096, report: choice.Report{Has: choice.HasService | choice.HasInFlight | choice.HasMemory, ServiceMs: 12.5, InFlight: 7, MemoryShare: 0.4}}},
-		"500":             {script: says("HTTP/1.1 500 Oops\r\nSrv-Load: x0=0.5\r\nContent-Length: 2\r\n\r\nno", true), want: ended{status: choice.Errored, report: choice.Report{Has: choice.HasMemory, MemoryShare: 0.5}}},
-		"503 declined":    {script: says(declined, true), want: ended{status: choice.Shed}},
-		"504 declined":    {script: says("HTTP/1.1 504 Over\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", true), want: ended{status: choice.Shed}},
-		"bare 503":        {script: says("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true), want: ended{status: choice.Errored}},
-		"not HTTP":        {script: says("hello\r\n\r\n", false), want: ended{status: choice.ConnBroken}},
+		"500":             {script: says("HTTP/1.1 500 Oops\r\nSrv-Load: x0=0.5\r\nContent-Length: 2\r\n\r\nno", true), want: ended{status: choice.Errored, code: 500, report: choice.Report{Has: choice.HasMemory, MemoryShare: 0.5}}},
+		"503 declined":    {script: says(declined, true), want: ended{status: choice.Shed, code: 503}},
+		"504 declined":    {script: says("HTTP/1.1 504 Over\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", true), want: ended{status: choice.Shed, code: 504}},
+		"bare 503":        {script: says("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true), want: ended{status: choice.Errored, code: 503}},
+		"400":             {script: says("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", true), want: ended{status: choice.Rejected, code: 400}},
+		"1xx before":      {script: says(info+info+streamHead+chunk(event1)+lastChunk, true), want: ended{status: choice.Served}},
+		"1xx for ever":    {script: says(strings.Repeat(info, 100), true), want: ended{status: choice.Spoilt}},
+		"noise":           {script: says("\x00\x01\x02\x03", true), want: ended{status: choice.Spoilt}},
+		"odd head":        {script: says("HTTP/1.1 two hundred\r\n\r\n", true), want: ended{status: choice.Spoilt}},
+		"long head":       {script: says("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 20<<10), true), want: ended{status: choice.Spoilt}},
+		"endless head":    {script: says("HTTP/1.1 200 OK\r\n", true), want: ended{status: choice.Spoilt}},
+		"odd chunk":       {script: says(streamHead+"five\r\n", true), want: ended{status: choice.Spoilt}},
+		"huge chunk":      {script: says(streamHead+"c0000000\r\n"+event1, true), want: ended{status: choice.Spoilt}},
+		"chunk too short": {script: says(streamHead+"5\r\n"+event1, true), want: ended{status: choice.Spoilt}},
+		"odd report":      {script: says(streamHead+chunk(event1)+chunk(": Srv-Load: x0=0.5,svc_ms=-1\n\n")+lastChunk, true), want: ended{status: choice.Served}},
+		"not HTTP":        {script: says("hello\r\n\r\n", false), want: ended{status: choice.Spoilt}},
 		"ends unanswered": {script: says("", false), want: ended{status: choice.ConnBroken}},
 		"breaks in head":  {script: says("HTTP/1.1 200 OK\r\nConte", false), want: ended{status: choice.ConnBroken}},
 		"breaks in chunk": {script: says(streamHead+"50\r\ndata", false), want: ended{status: choice.ConnBroken}},
@@ -249,6 +260,78 @@
 	}
 }
 
+// A stream that is spoilt before its first event was passed on is tried at the
+// other worker; one that is spoilt later ends the client's connection, with
+// nothing of what cannot be read passed on.
+func TestSpoiltStreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		late bool
+	}{
+		"head": {"\x16\x03\x01", false}, "first chunk": {streamHead + "b0000000\r\n" + event1, false},
+		"later chunk":  {streamHead + chunk(event1) + "b0000000\r\n" + event1, true},
+		"wrong length": {streamHead + chunk(event1) + "3\r\n" + event1, true},
+	} {
+		var sends atomic.Int32
+		firstIsBad := func(conn net.Conn, r *http.Request) bool {
+			if sends.Add(1) == 1 {
+				return says(c.text, true)(conn, r)
+			}
+			return whole(conn, r)
+		}
+		g := start(t, nil, newWorker(t, "s-1", firstIsBad), newWorker(t, "s-2", firstIsBad))
+		client := dial(t, g.addr)
+		client.ask("s1", "4000m")
+		body, err := io.ReadAll(client.head().Body)
+		if c.late && (err != io.ErrUnexpectedEOF || string(body) != event1 || sends.Load() != 1) {
+			t.Errorf("%s: %q, %v, %d sends", name, body, err, sends.Load())
+		}
+		if !c.late && (err != nil || string(body) != event1+event2+loadLine || sends.Load() != 2) {
+			t.Errorf("%s: %q, %v, %d sends", name, body, err, sends.Load())
+		}
+	}
+}
+
+// Bytes behind an answer are not the next request's answer.
+func TestSecondAnswerIsNobodys(t *testing.T) {
+	w := newWorker(t, "s-1", func(c net.Conn, r *http.Request) bool {
+		id := "data: " + r.Header.Get("Req-Id") + "\n\n"
+		io.WriteString(c, streamHead+chunk(id)+lastChunk+streamHead+chunk("data: more\n\n")+lastChunk)
+		return true
+	})
+	g := start(t, nil, w)
+	c := dial(t, g.addr)
+	for _, id := range []string{"t1", "t2", "t3"} {
+		c.ask(id, "4000m")
+		if _, body := c.answer(); body != "data: "+id {
+			t.Errorf("%s: answer %q", id, body)
+		}
+	}
+}
+
+// A request that no worker can use is answered at once and tried nowhere else,
+// and the worker that said so goes on being used.
+func TestRejectedRequestIsNotRetried(t *testing.T) {
+	w := newWorker(t, "s-1", func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("Req-Id") == "bad" {
+			return says("HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", true)(c, r)
+		}
+		return whole(c, r)
+	})
+	g := start(t, nil, w)
+	c := dial(t, g.addr)
+	for i, id := range []string{"bad", "good", "bad", "good"} {
+		c.ask(id, "4000m")
+		resp, _ := c.answer()
+		if want := map[string]int{"bad": 502, "good": 200}[id]; resp.StatusCode != want {
+			t.Errorf("%s: status %d", id, resp.StatusCode)
+		}
+		if _, n := w.seen(); n != i+1 {
+			t.Errorf("%s: %d sends, want %d", id, n, i+1)
+		}
+	}
+}
+
 // A connection that its worker has closed while it was kept carries nothing:
 // a request written to it would be lost with it.
 func TestStaleConnectionIsNotUsed(t *testing.T) {
@@ -368,19 +451,20 @@
 		status int
 		says   string
 	}{
-		"other path":    {"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", 404, ""},
-		"other method":  {"GET /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405, ""},
-		"no id":         {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 400, "Req-Id"},
-		"no deadline":   {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n", 200, "[DONE]"},
-		"no class":      {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n", 400, "Req-Kind"},
-		"other class":   {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Kind: chats\r\nContent-Length: 0\r\n\r\n", 400, "Req-Kind"},
-		"minus length":  {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: -4\r\n\r\n", 400, ""},
-		"long head":     {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 40<<10), 431, ""},
-		"bad deadline":  {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nReq-Deadline: soon\r\nContent-Length: 0\r\n\r\n", 400, "Req-Deadline"},
-		"too long":      {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nContent-Length: 262145\r\n\r\n", 413, "262144 bytes"},
-		"long in parts": {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(big), 413, "262144 bytes"},
-		"not HTTP":      {"hello\r\n\r\n", 400, ""},
-		"ready":         {"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", 200, "ready"},
+		"other path":     {"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", 404, ""},
+		"other method":   {"GET /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405, ""},
+		"no id":          {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 400, "Req-Id"},
+		"no deadline":    {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n", 200, "[DONE]"},
+		"no class":       {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n", 400, "Req-Kind"},
+		"other class":    {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Kind: chats\r\nContent-Length: 0\r\n\r\n", 400, "Req-Kind"},
+		"minus length":   {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nContent-Length: -4\r\n\r\n", 400, ""},
+		"long head":      {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 40<<10), 431, ""},
+		"empty deadline": {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nReq-Deadline:\r\nContent-Length: 0\r\n\r\n", 400, "Req-Deadline"},
+		"bad deadline":   {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nReq-Deadline: soon\r\nContent-Length: 0\r\n\r\n", 400, "Req-Deadline"},
+		"too long":       {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nContent-Length: 262145\r\n\r\n", 413, "262144 bytes"},
+		"long in parts":  {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(big), 413, "262144 bytes"},
+		"not HTTP":       {"hello\r\n\r\n", 400, ""},
+		"ready":          {"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", 200, "ready"},
 	} {
 		conn := dial(t, g.addr)
 		conn.raw(c.text)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -127,11 +127,12 @@
 	kept   int
 	report choice.Report
 	reused bool // over a kept connection
+	code   int  // the answer's status, where it was not 200
 }
 
 var statusWords = map[choice.Status]string{choice.Served: "served", choice.Errored: "error", choice.Shed: "declined",
 	choice.TimedOut: "timeout", choice.ConnectFailed: "connect_failed", choice.ConnBroken: "reset",
-	choice.Cancelled: "cancelled", choice.NotSent: "not_sent"}
+	choice.Cancelled: "cancelled", choice.NotSent: "not_sent", choice.Spoilt: "spoilt", choice.Rejected: "rejected"}
 
 func (e ended) apply(l *loop) {
 	if !l.requests.Ended(e.d) {
@@ -142,8 +143,8 @@
 		r.Done = true
 	}
 	if e.status != choice.Served {
-		log.Printf("msg=delegation id=%q n=%d worker=%s status=%s elapsed_ms=%d streamed=%t reused=%t", r.Name, e.d.N,
-			e.d.Worker.Instance.ID, statusWords[e.status], (l.now-e.d.SentAt)/1000, r.Bound == e.d, e.reused)
+		log.Printf("msg=delegation id=%q n=%d worker=%s status=%s elapsed_ms=%d streamed=%t reused=%t code=%d", r.Name, e.d.N,
+			e.d.Worker.Instance.ID, statusWords[e.status], (l.now-e.d.SentAt)/1000, r.Bound == e.d, e.reused, e.code)
 	}
 	l.b.AttemptEnded(l.now, choice.Outcome{ID: r.ID, Attempt: e.d.N, Replica: e.d.Worker.ID, Status: e.status,
 		Elapsed: l.now - e.d.SentAt, Final: r.Done, Kept: e.kept, Report: e.report})
@@ -181,8 +182,8 @@
 
 func (l *loop) list(in socket.List, kind choice.ListKind) {
 	out, left := l.registry.Apply(in, kind, l.g.clock.since)
-	for _, addr := range left {
-		l.g.pool.CloseIdle(addr)
+	for _, key := range left {
+		l.g.pool.CloseIdle(key)
 	}
 	l.b.ListChanged(l.now, out)
 	if len(in.Instances) > 0 {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -86,6 +86,7 @@
 
 const (
 	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	info       = "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"
 	lastChunk  = "0\r\n\r\n"
 	event1     = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"},\"finish_reason\":null}]}\n\n"
 	event2     = "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5120,\"completion_tokens\":200,\"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\ndata: [DONE]\n\n"
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"net/http"
 	"strings"
@@ -21,11 +20,14 @@
 // caller makes short calls without a body over kept connections.
 type caller struct{ pool *memory.Pool }
 
+// maxList bounds the registry's answer: room for some thousand workers.
+const maxList = 1 << 20
+
 // get fetches a path; the whole call takes no longer than the limit.
-func (c caller) get(ctx context.Context, addr, path string, limit time.Duration) (*http.Response, []byte, error) {
+func (c caller) get(ctx context.Context, key, addr, path string, limit time.Duration) (*http.Response, []byte, error) {
 	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
-	conn, err := c.pool.Get(ctx, addr)
+	conn, err := c.pool.Get(ctx, key, addr)
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: %w", errConnect, err)
 	}
@@ -41,15 +43,18 @@
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
 		return nil, nil, fmt.Errorf("write: %w", err)
 	}
-	resp, err := readHead(conn)
+	deadline, _ := ctx.Deadline()
+	conn.SetDeadline(deadline)
+	resp, err := readHead(conn, deadline)
 	if err != nil {
 		return nil, nil, fmt.Errorf("no answer: %w", err)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	in := socket.NewBody(conn.R, resp)
+	body, err := in.ReadAll(maxList)
 	if err != nil {
 		return nil, nil, fmt.Errorf("answer cut off: %w", err)
 	}
-	keep = !resp.Close
+	keep = in.Ends() && !resp.Close && conn.R.Buffered() == 0
 	return resp, body, nil
 }
 
@@ -118,7 +123,7 @@
 }
 
 func (g *Gateway) callRegistry(ctx context.Context, addr, path string, limit time.Duration) (socket.List, error) {
-	resp, body, err := g.registry.get(ctx, addr, path, limit)
+	resp, body, err := g.registry.get(ctx, addr, addr, path, limit)
 	if err != nil {
 		return socket.List{}, err
 	}
@@ -136,13 +141,13 @@
 	}
 	start, begin := g.clock.now(), time.Now()
 	e := probed{w: w, status: choice.Served}
-	resp, body, err := caller{g.pool}.get(context.Background(), w.Addr, path, g.o.ProbeTimeout)
+	resp, body, err := caller{g.pool}.get(context.Background(), w.Key(), w.Addr, path, g.o.ProbeTimeout)
 	switch {
 	case errors.Is(err, errConnect):
 		e.status = choice.ConnectFailed
 	case err != nil:
 		e.status = choice.TimedOut
-		g.pool.Doubt(w.Addr, begin)
+		g.pool.Doubt(w.Key(), begin)
 	case resp.StatusCode != http.StatusOK:
 		e.status = choice.Errored
 	default:
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -90,13 +90,13 @@
 		{choice.ListDelta, []socket.Instance{entry("a", "draining", 0)},
 			map[choice.ReplicaID]choice.MemberState{a: choice.MemberDraining}, nil, 1},
 		{choice.ListDelta, []socket.Instance{entry("a", "gone", 0), entry("never", "gone", 0)},
-			map[choice.ReplicaID]choice.MemberState{a: choice.MemberGone}, []string{"127.0.0.1:a"}, 1},
+			map[choice.ReplicaID]choice.MemberState{a: choice.MemberGone}, []string{"a@127.0.0.1:a/0"}, 1},
 		{choice.ListDelta, []socket.Instance{entry("b", "ready", 50)},
 			map[choice.ReplicaID]choice.MemberState{b: choice.MemberReady}, nil, 1},
 		{choice.ListDelta, []socket.Instance{entry("b", "ready", 60)}, // it restarted: its connections are dead
-			map[choice.ReplicaID]choice.MemberState{b: choice.MemberReady}, []string{"127.0.0.1:b"}, 1},
+			map[choice.ReplicaID]choice.MemberState{b: choice.MemberReady}, []string{"b@127.0.0.1:b/50"}, 1},
 		{choice.ListFull, []socket.Instance{entry("a", "odd word", 0)},
-			map[choice.ReplicaID]choice.MemberState{a: choice.MemberDraining}, []string{"127.0.0.1:b"}, 0},
+			map[choice.ReplicaID]choice.MemberState{a: choice.MemberDraining}, []string{"b@127.0.0.1:b/60"}, 0},
 	} {
 		got, left := apply(step.kind, step.in...)
 		if diff := cmp.Diff(step.want, got); diff != "" {
@@ -124,14 +124,14 @@
 	p := NewPool(2, time.Minute, time.Second)
 	get := func() *Conn {
 		t.Helper()
-		c, err := p.Get(context.Background(), l.Addr().String())
+		c, err := p.Get(context.Background(), "k", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		return c
 	}
 	a, b := get(), get()
-	if _, err := p.Get(context.Background(), l.Addr().String()); err != ErrFull {
+	if _, err := p.Get(context.Background(), "k", l.Addr().String()); err != ErrFull {
 		t.Errorf("a third connection: %v", err)
 	}
 	p.Put(a)
@@ -145,15 +145,23 @@
 		t.Fatal(err)
 	}
 	defer other.Close()
-	c, err := p.Get(context.Background(), other.Addr().String())
+	c, err := p.Get(context.Background(), "other", other.Addr().String())
 	if err != nil || p.Open() != 2 {
 		t.Errorf("with two idle: %v, %d open", err, p.Open())
 	}
+	// Another process at an address gets no connection of the one before.
+	if p.Put(c); c.Reused {
+		t.Error("a first connection taken for a kept one")
+	}
+	if c, err = p.Get(context.Background(), "third", other.Addr().String()); err != nil || c.Reused {
+		t.Errorf("a connection of another peer at the same address: %v", err)
+	}
 	if _, err := a.Write([]byte("x")); err == nil {
 		t.Error("the idlest connection is still open")
 	}
 	p.Drop(c)
-	p.CloseIdle(l.Addr().String())
+	p.CloseIdle("k")
+	p.CloseIdle("other")
 	if p.Open() != 0 {
 		t.Errorf("%d open at the end", p.Open())
 	}
@@ -172,16 +180,16 @@
 		since time.Time
 		open  int
 	}{"used since": {time.Now().Add(-time.Hour), 1}, "not used since": {time.Now().Add(time.Hour), 0}} {
-		conn, err := p.Get(context.Background(), addr)
+		conn, err := p.Get(context.Background(), "k", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		p.Put(conn)
-		p.Doubt(addr, c.since)
+		p.Doubt("k", c.since)
 		if p.Open() != c.open {
 			t.Errorf("%s: %d open, want %d", name, p.Open(), c.open)
 		}
-		p.CloseIdle(addr)
+		p.CloseIdle("k")
 	}
 }
 
@@ -198,7 +206,7 @@
 		open  int
 	}{"fresh": {time.Minute, false, 1}, "too old": {0, false, 0}, "closed": {time.Minute, true, 0}} {
 		p := NewPool(2, c.idle, time.Second)
-		conn, err := p.Get(context.Background(), l.Addr().String())
+		conn, err := p.Get(context.Background(), "k", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -20,7 +20,7 @@
 	net.Conn
 	R      *bufio.Reader
 	Reused bool // it has carried a request before
-	addr   string
+	key    string
 	usedAt time.Time
 }
 
@@ -31,7 +31,7 @@
 	most  int           // connections open at once
 	mu    sync.Mutex
 	open  int
-	spare map[string][]*Conn // by address, the one used last at the end
+	spare map[string][]*Conn // by key, the one used last at the end
 }
 
 // NewPool returns a pool of at most so many connections. The idle limit must
@@ -40,9 +40,11 @@
 	return &Pool{dial: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}, idle: idle, most: most, spare: map[string][]*Conn{}}
 }
 
-// Get returns a connection to addr: the one kept that was used last, or a new one.
-func (p *Pool) Get(ctx context.Context, addr string) (*Conn, error) {
-	if c := p.kept(addr); c != nil {
+// Get returns a connection: of those kept under the key the one used last, or a
+// new one to addr. A key stands for one peer: what is at an address today may be
+// another than yesterday, and the connections kept lead to the one that is gone.
+func (p *Pool) Get(ctx context.Context, key, addr string) (*Conn, error) {
+	if c := p.kept(key); c != nil {
 		return c, nil
 	}
 	if !p.reserve() {
@@ -53,16 +55,16 @@
 		p.release()
 		return nil, err
 	}
-	return &Conn{Conn: nc, R: bufio.NewReaderSize(nc, 2048), addr: addr}, nil
+	return &Conn{Conn: nc, R: bufio.NewReaderSize(nc, 2048), key: key}, nil
 }
 
-func (p *Pool) kept(addr string) *Conn {
+func (p *Pool) kept(key string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for list := p.spare[addr]; len(list) > 0; {
+	for list := p.spare[key]; len(list) > 0; {
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
-		p.spare[addr] = list
+		p.spare[key] = list
 		if c.fit(p.idle) {
 			c.Reused = true
 			return c
@@ -122,7 +124,7 @@
 		if oldest == nil {
 			return false
 		}
-		p.spare[oldest.addr] = p.spare[oldest.addr][1:]
+		p.spare[oldest.key] = p.spare[oldest.key][1:]
 		p.closeLocked(oldest)
 	}
 	p.open++
@@ -149,7 +151,7 @@
 	c.usedAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.spare[c.addr] = append(p.spare[c.addr], c)
+	p.spare[c.key] = append(p.spare[c.key], c)
 }
 
 // Drop closes a connection that Get returned.
@@ -158,31 +160,31 @@
 	p.release()
 }
 
-// CloseIdle closes the kept connections to addr.
-func (p *Pool) CloseIdle(addr string) {
+// CloseIdle closes the connections kept under the key.
+func (p *Pool) CloseIdle(key string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.spare[addr] {
+	for _, c := range p.spare[key] {
 		p.closeLocked(c)
 	}
-	delete(p.spare, addr)
+	delete(p.spare, key)
 }
 
-// Doubt closes the kept connections to addr after it has been silent since a
+// Doubt closes the connections kept under the key after the peer has been silent since a
 // time, unless one of them has been in use later. A machine that vanished leaves
 // its connections open and silent: over a kept one each request waits for
 // seconds, while a new one that does not come up says so at once.
-func (p *Pool) Doubt(addr string, since time.Time) {
+func (p *Pool) Doubt(key string, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.spare[addr]
+	list := p.spare[key]
 	if len(list) == 0 || list[len(list)-1].usedAt.After(since) {
 		return
 	}
 	for _, c := range list {
 		p.closeLocked(c)
 	}
-	delete(p.spare, addr)
+	delete(p.spare, key)
 }
 
 // Sweep closes kept connections that are idle for too long or that the other
--- a/internal/memory/registry.go
+++ b/internal/memory/registry.go
@@ -3,6 +3,7 @@
 package memory
 
 import (
+	"fmt"
 	"hash/fnv"
 	"slices"
 
@@ -17,6 +18,12 @@
 	Since choice.Micros // its last start on the gateway's clock; 0: long ago
 }
 
+// Key stands for this very process at its address: connections kept under it
+// are never used for another that comes there later.
+func (w *Worker) Key() string {
+	return fmt.Sprintf("%s@%s/%d", w.Instance.ID, w.Addr, w.StartedAtMs)
+}
+
 // Registry is the registry's list as the gateway holds it. The loop owns it.
 type Registry struct {
 	version int64
@@ -43,8 +50,8 @@
 	return n
 }
 
-// Apply enters a list and returns the module's form of it, and the addresses
-// that workers have left behind, by their end or a restart. sinceOf converts a
+// Apply enters a list and returns the module's form of it, and the keys that
+// workers have left behind, by their end or a restart. sinceOf converts a
 // start in Unix milliseconds; it is asked once for each start, because a worker
 // whose start seems to move by a few microseconds would seem to start anew.
 func (r *Registry) Apply(l socket.List, kind choice.ListKind, sinceOf func(int64) choice.Micros) (choice.ServerList, []string) {
@@ -75,8 +82,8 @@
 		}
 	}
 	for id, was := range old {
-		if now := next[id]; now == nil || now.Addr != was.Addr || now.StartedAtMs != was.StartedAtMs {
-			left = append(left, was.Addr)
+		if now := next[id]; now == nil || now.Key() != was.Key() {
+			left = append(left, was.Key())
 		}
 	}
 	r.workers = next
--- a/internal/wire/socket/answer.go
+++ b/internal/wire/socket/answer.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,28 +14,49 @@
 const loadHeader = "Srv-Load"
 
 // Refusal tells what an answer other than 200 means. 'Never ran' only where the
-// worker says so itself: a bare 503 may come from one that began.
+// worker says so itself: a bare 503 may come from one that began. A 4xx speaks of
+// the request: a worker that gives one is as good as before.
 func Refusal(resp *http.Response) choice.Status {
 	if (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("Srv-Declined") == "1" {
 		return choice.Shed
 	}
+	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+		return choice.Rejected
+	}
 	return choice.Errored
 }
 
-// Load reads a load report: name=value pairs. What is malformed or unknown is
-// skipped, for a report is only a hint.
+// Load reads a load report: name=value pairs, of which unknown ones are skipped.
+// One that cannot be read, or has a figure that no worker can have, counts for
+// nothing at all: what else it says is as doubtful.
 func Load(text string) choice.Report {
 	var r choice.Report
+	if len(text) > maxLoad {
+		return r
+	}
 	for pair := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if v, err := strconv.ParseFloat(value, 64); err == nil && math.Abs(v) < 1e15 {
-			wire.SetLoad(&r, name, v)
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v <= maxFigure) {
+			return choice.Report{}
 		}
+		wire.SetLoad(&r, name, v)
+	}
+	if r.MemoryShare > maxShare || r.Util > maxShare {
+		return choice.Report{}
 	}
 	return r
 }
 
+// Bounds of a load report: its bytes, any figure (the largest are times in
+// milliseconds), a share.
+const (
+	maxLoad   = 512
+	maxFigure = 1e7
+	maxShare  = 10
+)
+
 // HeaderLoad is the load report of an answer's head.
 func HeaderLoad(h http.Header) choice.Report { return Load(h.Get(loadHeader)) }
 
@@ -91,6 +111,6 @@
 		} `json:"usage"`
 	}
 	if json.Unmarshal(rest, &event) == nil {
-		n.Kept = event.Usage.Details.Cached
+		n.Kept = max(0, event.Usage.Details.Cached)
 	}
 }
--- a/internal/wire/socket/request.go
+++ b/internal/wire/socket/request.go
@@ -57,8 +57,8 @@
 		return j, fmt.Errorf("Req-Id: expected up to %d visible characters", maxID)
 	}
 	var err error
-	if text := h.Get("Req-Deadline"); text != "" {
-		if j.Wait, err = parseWait(text); err != nil {
+	if texts := h.Values("Req-Deadline"); len(texts) > 0 {
+		if j.Wait, err = parseWait(texts[0]); err != nil {
 			return j, err
 		}
 	}
@@ -79,16 +79,12 @@
 
 // parseWait reads a time with its unit: 4800m or 4800000u.
 func parseWait(text string) (choice.Micros, error) {
-	unit := choice.Micros(0)
-	switch text[len(text)-1] {
-	case 'm':
-		unit = 1000
-	case 'u':
-		unit = 1
+	number, unit := strings.TrimSuffix(text, "u"), choice.Micros(1)
+	if number == text {
+		number, unit = strings.TrimSuffix(text, "m"), 1000
 	}
-	number := text[:len(text)-1]
 	n, err := strconv.ParseFloat(number, 64)
-	if unit == 0 || strings.Trim(number, "0123456789.") != "" || err != nil || !(n > 0) || n*float64(unit) > math.MaxInt32*1000.0 {
+	if number == text || strings.Trim(number, "0123456789.") != "" || err != nil || !(n > 0) || n*float64(unit) > math.MaxInt32*1000.0 {
 		return 0, fmt.Errorf("Req-Deadline: expected a number above 0 and its unit m or u, got %.40q", text)
 	}
 	return choice.Micros(n * float64(unit)), nil
