--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -126,10 +126,11 @@
 	defer g.clients.leave(job.ID)
 
 	req := memory.NewRequest(r.Context(), job.ID, job.Request, sentAt+job.Wait, g.o.Settings.MaxAttempts)
-	answer, delegations, retryAfter := "left", 0, choice.Micros(0)
+	answer, worker, delegations, first, retryAfter := "left", "", 0, choice.Micros(0), choice.Micros(0)
 	defer func() {
-		log.Printf("msg=request id=%q class=%q key=%016x answer=%s delegations=%d wait_ms=%d total_ms=%d retry_ms=%d", job.ID,
-			job.Request.Class, job.Request.Session, answer, delegations, job.Wait/1000, (g.clock.now()-sentAt)/1000, retryAfter/1000)
+		log.Printf("msg=request id=%q class=%q key=%016x answer=%s delegations=%d worker=%s wait_ms=%d first_ms=%d total_ms=%d retry_ms=%d",
+			job.ID, job.Request.Class, job.Request.Session, answer, delegations, worker, job.Wait/1000, first/1000,
+			(g.clock.now()-sentAt)/1000, retryAfter/1000)
 	}()
 	g.loop.events <- arrived{req}
 	for {
@@ -145,6 +146,7 @@
 			delegations++
 			go g.delegate(r, body, a.Delegation)
 		case memory.PassOn:
+			worker, first = a.Delegation.Worker.Instance.ID, g.clock.now()-sentAt
 			whole := passOn(w, a.Delegation)
 			if r.Context().Err() != nil {
 				g.loop.events <- left{req}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -187,7 +187,7 @@
 	// Well below the workers' own limit: what is written to a connection that
 	// they have closed is lost with it.
 	o.ConnIdle = time.Duration(o.Settings.ConnIdle) * time.Microsecond * 3 / 4
-	o.ClientIdle = 5 * time.Minute
+	o.ClientIdle = 15 * time.Second
 	o.Stall = 4 * time.Second
 	o.ProbeTimeout = 250 * time.Millisecond
 	o.WatchWait = min(8*time.Second, time.Duration(extra.Rules.AskWithinUs)*time.Microsecond*4/5)
