--- a/choice/api.go
+++ b/choice/api.go
@@ -195,6 +195,7 @@
 	Elapsed Micros
 	Final   bool // the request has ended, by this or before
 	Kept    int  // prompt tokens found kept
+	Tokens  int  // of the answer; 0: not told
 	Report  Report
 }
 
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -178,7 +178,7 @@
 // guardFactor weighs a usable row's predicted load: a replica that errs wastes
 // attempts, one in another zone or without a connection costs a little.
 func (b *Balancer) guardFactor(now Micros, w *row, r *request) float64 {
-	f := 1.0
+	f := 1 / b.warmth(now, w) // a cold one reads and streams as much slower
 	if w.errors > 0.02 {
 		f /= (1 - w.errors) * (1 - w.errors)
 	}
@@ -302,14 +302,9 @@
 // passed before was counted then: counted when its answer came, seconds later,
 // the jam of before went on closing the limit of an idle fleet.
 func (b *Balancer) noteFirst(r *request, tooSlow bool) {
-	if r.late {
-		return
-	}
-	late := 0.0
-	if tooSlow {
-		late = 1
+	if !r.late {
+		b.noteLate(one(tooSlow))
 	}
-	b.noteLate(late)
 }
 
 // noteLate moves the limit by one request's lateness, down from what is really
@@ -317,8 +312,8 @@
 func (b *Balancer) noteLate(late float64) {
 	b.late += learnRate * (late - b.late)
 	if late > 0 && (b.openLimit > 0 || b.late > lateMost) {
-		if b.openLimit == 0 || b.openLimit > b.openMean {
-			b.openLimit = b.openMean
+		if most := math.Max(b.openMean, b.openTokens); b.openLimit == 0 || b.openLimit > most {
+			b.openLimit = most
 		}
 		b.openLimit = math.Max(b.meanHold, b.openLimit*(1-learnRate))
 	} else {
@@ -353,7 +348,17 @@
 	} else {
 		b.pace -= learnRate * aim
 	}
-	return b.pace > aim*paceOver
+	// Where ended streams tell their length, they must bear it out: a gateway new
+	// to its work or to its workers guesses badly what is left to read.
+	return b.pace > aim*paceOver && (!b.told || b.slowStreams > lateMost)
+}
+
+// notePace takes the time of a whole stream against what its tokens may take.
+func (b *Balancer) notePace(took, most float64) {
+	if most > 0 {
+		b.told = true
+		b.slowStreams += 2 * learnRate * (one(took > most) - b.slowStreams)
+	}
 }
 
 // retryAfter is the hint that goes with a refusal of r: when what stands over
--- a/choice/num.go
+++ b/choice/num.go
@@ -27,6 +27,14 @@
 	*m += learnRate * (v - *m)
 }
 
+// one is 1 for true.
+func one(v bool) float64 {
+	if v {
+		return 1
+	}
+	return 0
+}
+
 func unit(h uint64) float64 { return float64(h>>11) / (1 << 53) }
 
 // linearFit is a fading least-squares line.
--- a/choice/state.go
+++ b/choice/state.go
@@ -122,6 +122,8 @@
 	hedges, retries float64         // what is left of the budgets
 	pace            float64         // median of first-token times less reading and the least seen
 	paceFloor       map[int]float64 // the least seen, by zone and need of a connection
+	told            bool            // answers tell their length
+	slowStreams     float64         // share of recent streams that took longer than their token aims
 	late            float64         // share of recent requests past their aim or unserved
 	openLimit       float64         // most tokens that may be open; 0: no limit
 	openMean        float64         // tokens open of late
--- a/choice/table.go
+++ b/choice/table.go
@@ -221,6 +221,7 @@
 	if b.ready > 0 {
 		perReplica = b.sendRate * float64(b.s.Gateways) / float64(b.ready)
 	}
+	sights := (b.popular[r.Prefix] / math.Max(1, b.popTotal)) * perReplica / math.Min(1, threshold)
 	peers := float64(b.s.Gateways-1) / float64(b.s.Gateways)
 	invLife := 1 / math.Max(1, b.lifetime)
 	var best *row
@@ -232,7 +233,7 @@
 		}
 		kept := 0.0
 		if r.Prefix != 0 && (threshold >= 1 || unit(mix(phash^w.hash)) < threshold || w == home) {
-			kept = prefix
+			kept = prefix * b.seen(now, w, sights)
 		}
 		if w == holder {
 			kept = math.Min(prompt, holderTokens)
@@ -262,6 +263,14 @@
 	return best, bestKept
 }
 
+// seen tells how likely w, if it started lately, has read what it gets so often.
+func (b *Balancer) seen(now Micros, w *row, perSecond float64) float64 {
+	if w.coldUntil == 0 {
+		return 1
+	}
+	return 1 - math.Exp(-perSecond*math.Max(0, float64(now-w.coldFrom))/1e6)
+}
+
 // prefixThreshold is the share of replicas that are home to r's prefix: as
 // much as its share of the traffic needs, and some to spare. The one added
 // sight keeps gateways that have seen little near to all replicas, and so near
@@ -325,6 +334,7 @@
 			k.slowDen++
 		}
 		mean(&st.stream, stream)
+		b.notePace(stream, float64(o.Tokens)*float64(b.cls(r).TokenAim))
 	}
 	if expected := float64(r.PromptTokens) - a.unread; expected > float64(r.PromptTokens)/8 {
 		full := expected / math.Max(b.keptTrust, 0.1) // before it was tempered
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -103,7 +103,7 @@
 			c.SetDeadline(time.Now().Add(g.o.Stall))
 		}
 		if err == io.EOF {
-			e.kept, e.report = notes.Kept, notes.Report
+			e.kept, e.tokens, e.report = notes.Kept, notes.Tokens, notes.Report
 			if e.report.Has == 0 {
 				e.report = socket.HeaderLoad(resp.Header)
 			}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -193,7 +193,7 @@
 		wait   time.Duration
 		want   ended
 	}{
-		"whole":           {script: whole, want: ended{status: choice.Served, kept: 4096, report: choice.Report{Has: choice.HasService | choice.HasInFlight | choice.HasMemory, ServiceMs: 12.5, InFlight: 7, MemoryShare: 0.4}}},
+		"whole":           {script: whole, want: ended{status: choice.Served, kept: 4096, tokens: 200, report: choice.Report{Has: choice.HasService | choice.HasInFlight | choice.HasMemory, ServiceMs: 12.5, InFlight: 7, MemoryShare: 0.4}}},
 		"500":             {script: says("HTTP/1.1 500 Oops\r\nSrv-Load: x0=0.5\r\nContent-Length: 2\r\n\r\nno", true), want: ended{status: choice.Errored, code: 500, report: choice.Report{Has: choice.HasMemory, MemoryShare: 0.5}}},
 		"503 declined":    {script: says(declined, true), want: ended{status: choice.Shed, code: 503}},
 		"504 declined":    {script: says("HTTP/1.1 504 Over\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", true), want: ended{status: choice.Shed, code: 504}},
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -125,6 +125,7 @@
 	d      *memory.Delegation
 	status choice.Status
 	kept   int
+	tokens int
 	report choice.Report
 	reused bool // over a kept connection
 	code   int  // the answer's status, where it was not 200
@@ -147,7 +148,7 @@
 			e.d.Worker.Instance.ID, statusWords[e.status], (l.now-e.d.SentAt)/1000, r.Bound == e.d, e.reused, e.code)
 	}
 	l.b.AttemptEnded(l.now, choice.Outcome{ID: r.ID, Attempt: e.d.N, Replica: e.d.Worker.ID, Status: e.status,
-		Elapsed: l.now - e.d.SentAt, Final: r.Done, Kept: e.kept, Report: e.report})
+		Elapsed: l.now - e.d.SentAt, Final: r.Done, Kept: e.kept, Tokens: e.tokens, Report: e.report})
 	l.requests.Forget(r)
 }
 
--- a/internal/wire/socket/answer.go
+++ b/internal/wire/socket/answer.go
@@ -64,9 +64,10 @@
 const maxLine = 4096
 
 // Notes picks out of a stream of events, as they pass, what the worker says of
-// itself: prompt tokens found kept, and its load.
+// itself: prompt tokens found kept, the answer's tokens, and its load.
 type Notes struct {
 	Kept   int
+	Tokens int // of the answer
 	Report choice.Report
 	line   []byte
 	skip   bool // the line is too long to be one of ours
@@ -105,12 +106,13 @@
 	}
 	var event struct {
 		Usage struct {
-			Details struct {
+			Completion int `json:"completion_tokens"`
+			Details    struct {
 				Cached int `json:"cached_tokens"`
 			} `json:"prompt_tokens_details"`
 		} `json:"usage"`
 	}
 	if json.Unmarshal(rest, &event) == nil {
-		n.Kept = max(0, event.Usage.Details.Cached)
+		n.Kept, n.Tokens = max(0, event.Usage.Details.Cached), max(0, event.Usage.Completion)
 	}
 }
