--- a/choice/guard.go
+++ b/choice/guard.go
@@ -6,8 +6,7 @@
 	// tickEvery is the rhythm of upkeep: well under the second in which
 	// reports are renewed.
 	tickEvery Micros = 250_000
-	// hedgeShare and retryShare are the further attempts allowed a request;
-	// the budgets hold at most budgetCap.
+	// hedgeShare and retryShare are the further attempts allowed a request.
 	hedgeShare, retryShare, budgetCap = 0.02, 0.2, 8.0
 	// backoffFirst and backoffMost bound the rest of a failing replica.
 	backoffFirst, backoffMost Micros = 500_000, 16_000_000
@@ -19,13 +18,15 @@
 	coldCare = 0.4
 	// lateMost is the share of late requests from which less is admitted, and
 	// leastPart the part of the limit that even the least worth may fill.
-	lateMost, leastPart = 0.12, 0.3
+	lateMost, leastPart = 0.2, 0.3
 	// lateFades is over how many seconds what was seen of lateness fades: a few
 	// times the life of a request.
 	lateFades = 12.0
-	// openGrows is the part by which the limit opens each second: in five, about
-	// the life of a jam's requests, it more than doubles.
-	openGrows = 0.2
+	// openGrows is the part by which the limit opens each second.
+	openGrows  = 0.2
+	// closesMost is the part it closes to in a tick: counted one by one, all that a
+	// jam makes late closed it to next to nothing.
+	closesMost = 0.9
 	// paceOver is how many token aims a first token may take beyond its reading
 	// and the least time seen, at the median, before streams count as too slow.
 	paceOver = 1.5
@@ -307,15 +308,15 @@
 	}
 }
 
-// noteLate moves the limit by one request's lateness, down from what is really
-// open. It holds still where a share of lateMost comes late.
+// noteLate moves the limit by one request's lateness, down from what is open. It
+// holds still where a share of lateMost comes late.
 func (b *Balancer) noteLate(late float64) {
 	b.late += learnRate * (late - b.late)
 	if late > 0 && (b.openLimit > 0 || b.late > lateMost) {
 		if most := math.Max(b.openMean, b.openTokens); b.openLimit == 0 || b.openLimit > most {
 			b.openLimit = most
 		}
-		b.openLimit = math.Max(b.meanHold, b.openLimit*(1-learnRate))
+		b.openLimit = math.Max(math.Max(b.meanHold, b.openFloor), b.openLimit*(1-learnRate))
 	} else {
 		b.openLimit *= 1 + learnRate*lateMost/(1-lateMost)
 	}
@@ -348,8 +349,7 @@
 	} else {
 		b.pace -= learnRate * aim
 	}
-	// Where ended streams tell their length, they must bear it out: a gateway new
-	// to its work or to its workers guesses badly what is left to read.
+	// Streams that tell their length must bear it out: a new gateway guesses badly.
 	return b.pace > aim*paceOver && (!b.told || b.slowStreams > lateMost)
 }
 
@@ -400,6 +400,7 @@
 		b.openLimit = 0 // far from binding
 	}
 	b.openLimit *= 1 + openGrows*dt
+	b.openFloor = b.openLimit * closesMost
 	if b.askAt > 0 && now >= b.askAt && !b.watching {
 		b.watch(now)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -126,6 +126,7 @@
 	slowStreams     float64         // share of recent streams that took longer than their token aims
 	late            float64         // share of recent requests past their aim or unserved
 	openLimit       float64         // most tokens that may be open; 0: no limit
+	openFloor       float64         // below this it does not close before the next tick
 	openMean        float64         // tokens open of late
 	worthPerToken   float64
 	usage           []float64 // requests a second, by tenant
