--- a/choice/guard.go
+++ b/choice/guard.go
@@ -19,16 +19,15 @@
 	// lateMost is the share of late requests from which less is admitted, and
 	// leastPart the part of the limit that even the least worth may fill.
 	lateMost, leastPart = 0.2, 0.3
-	// lateFades is over how many seconds what was seen of lateness fades: a few
-	// times the life of a request.
+	// lateFades is over how many seconds what was seen of lateness fades.
 	lateFades = 12.0
 	// openGrows is the part by which the limit opens each second.
-	openGrows  = 0.2
+	openGrows = 0.2
 	// closesMost is the part it closes to in a tick: counted one by one, all that a
 	// jam makes late closed it to next to nothing.
 	closesMost = 0.9
-	// paceOver is how many token aims a first token may take beyond its reading
-	// and the least time seen, at the median, before streams count as too slow.
+	// paceOver is how many token aims first tokens may take beyond their reading and
+	// the least time seen, at the median, before streams count as too slow.
 	paceOver = 1.5
 	// comeBackFirst and comeBackLast bound the advice to a refused client, in
 	// aims: sooner nothing has changed, later the answer would be late.
