--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"testing"
 )
@@ -655,3 +656,83 @@
 		}
 	}
 }
+
+// All that a jam makes late is one jam: the limit closes by a part a tick, and
+// not by as much for each. Counted one by one, 60 late requests left a seventh of
+// it, and a gateway refused for seconds after the jam was over.
+func TestOneJamClosesTheLimitSlowly(t *testing.T) {
+	b, _ := start(t, settings(), fleet(2)...)
+	b.openTokens, b.openMean, b.meanHold, b.late = 100_000, 100_000, 1000, 1
+	b.noteLate(1)
+	b.tick(101 * sec)
+	before := b.openLimit
+	for range 100 {
+		b.noteLate(1)
+	}
+	if b.openLimit < closesMost*before || b.openLimit > 0.95*before {
+		t.Errorf("from %.0f to %.0f by one jam", before, b.openLimit)
+	}
+	for range 20 { // a jam that lasts still closes it
+		b.openTokens, b.late = b.openLimit, 1
+		b.tick(b.lastTick + tickEvery)
+		for range 100 {
+			b.noteLate(1)
+		}
+	}
+	if b.openLimit > before/2 {
+		t.Errorf("%.0f of %.0f after five seconds", b.openLimit, before)
+	}
+}
+
+// A gateway that takes over another's traffic has more open than its mean of
+// late: the limit starts from what is open.
+func TestLimitStartsFromWhatIsOpen(t *testing.T) {
+	b, _ := start(t, settings(), fleet(2)...)
+	b.openTokens, b.openMean, b.late = 100_000, 5_000, 1
+	if b.noteLate(1); b.openLimit < 90_000 {
+		t.Errorf("limit %.0f with 100000 open", b.openLimit)
+	}
+}
+
+// What first tokens make one guess of the pace counts only if ended streams bear
+// it out, where they tell their length.
+func TestSlowPaceIsBorneOut(t *testing.T) {
+	b, _ := start(t, settings(), fleet(1)...)
+	a := &attempt{row: b.rows[0], opened: 400_000}
+	r := &request{Request: req(1), tenant: -1}
+	b.firstFit.n, b.pace, b.paceFloor[2*a.row.zone] = 20, 1e6, 1000
+	if !b.tooSlow(r, a) {
+		t.Error("not too slow where lengths are not told")
+	}
+	b.notePace(2e6, 100*50_000) // 100 tokens in 2 s: well within 50 ms each
+	if b.tooSlow(r, a) {
+		t.Error("too slow, although streams are quick")
+	}
+	for range 20 {
+		b.notePace(9e6, 100*50_000)
+	}
+	if !b.tooSlow(r, a) {
+		t.Error("not too slow, although streams are")
+	}
+}
+
+// A worker that started lately has read nothing of what its place is home to,
+// and is slow: one replaced at the same place inherits neither.
+func TestYoungWorkers(t *testing.T) {
+	members := fleet(2)
+	members[1].Since = 100 * sec
+	b, _ := start(t, settings(), members...)
+	old, young := b.byID[1], b.byID[2]
+	for now, want := range map[Micros]float64{100 * sec: 0, 101 * sec: 0.39, 160 * sec: 1} {
+		if got := b.seen(now, young, 0.5); math.Abs(got-want) > 0.01 {
+			t.Errorf("%d s: has read %.2f, want %.2f", now/sec, got, want)
+		}
+		if b.seen(now, old, 0.5) != 1 {
+			t.Errorf("%d s: the old worker has read nothing", now/sec)
+		}
+	}
+	r := &request{Request: req(1), tenant: -1, avoidZone: -1}
+	if f, g := b.guardFactor(101*sec, young, r), b.guardFactor(101*sec, old, r); f < 2*g {
+		t.Errorf("a cold worker weighs %.2f, a warm one %.2f", f, g)
+	}
+}
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -24,27 +24,25 @@
 
 // newServer is the acceptor: the client's side of the gateway.
 func (g *Gateway) newServer() *http.Server {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+socket.JobPath, g.serve)
-	mux.HandleFunc("GET "+socket.ReadyPath, g.serveReady)
-	mux.HandleFunc(socket.JobPath, func(w http.ResponseWriter, _ *http.Request) {
-		g.turnAway(w, &problem{http.StatusMethodNotAllowed, "method: expected POST"})
-	})
-	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		g.turnAway(w, &problem{http.StatusNotFound, "path: unknown"})
-	})
-	framed := func(w http.ResponseWriter, r *http.Request) {
+	handler := func(w http.ResponseWriter, r *http.Request) {
 		conn := g.clients.of(r.Context())
 		// It stands until the whole request has come: for one that is turned
 		// away, the server reads on for a while, and would wait for ever.
 		_ = http.NewResponseController(w).SetReadDeadline(conn.began().Add(requestTimeout))
-		if conn.hiding.Load() {
+		switch post := r.Method == http.MethodPost; {
+		case conn.hiding.Load():
 			g.turnAway(w, unframed)
-			return
+		case r.URL.Path == socket.JobPath && post:
+			g.serve(w, r)
+		case r.URL.Path == socket.ReadyPath && !post:
+			g.serveReady(w, r)
+		case r.URL.Path == socket.JobPath || r.URL.Path == socket.ReadyPath:
+			g.turnAway(w, &problem{http.StatusMethodNotAllowed, "method: not that one"})
+		default: // a ServeMux would answer some of these with a redirect
+			g.turnAway(w, &problem{http.StatusNotFound, "path: unknown"})
 		}
-		mux.ServeHTTP(w, r)
 	}
-	return &http.Server{Handler: http.HandlerFunc(framed), ReadHeaderTimeout: headTimeout, IdleTimeout: g.o.ClientIdle,
+	return &http.Server{Handler: http.HandlerFunc(handler), ReadHeaderTimeout: headTimeout, IdleTimeout: g.o.ClientIdle,
 		MaxHeaderBytes: 16 << 10, ConnState: g.clients.state, ConnContext: g.clients.context,
 		ErrorLog: log.New(&logWriter{}, "", 0)}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -452,6 +452,7 @@
 		says   string
 	}{
 		"other path":     {"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n", 404, ""},
+		"odd path":       {"POST /v1//chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 404, ""},
 		"other method":   {"GET /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405, ""},
 		"no id":          {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 400, "Req-Id"},
 		"no deadline":    {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: 1\r\nContent-Length: 0\r\n\r\n", 200, "[DONE]"},
