--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,7 @@
 	seed  uint64
 	class map[string]int
 	ten   map[string]int
+	terms []*terms // by class; the last are for classes on no list
 
 	requests map[RequestID]*request
 	stats    []classStats // by class
@@ -59,14 +60,7 @@
 	b := &Balancer{s: s, out: out, seed: seed, rng: mix(seed) | 1,
 		class: map[string]int{}, ten: map[string]int{},
 		requests: map[RequestID]*request{}, stats: make([]classStats, len(s.Classes)+1)}
-	for i, c := range s.Classes {
-		b.class[c.Name] = i
-	}
-	// A class that is on no list is treated as the most fragile one.
-	b.s.Classes = append(append([]Class(nil), s.Classes...), Class{Effect: Unsafe, Aim: s.Classes[0].Aim})
-	for i, t := range s.Tenants {
-		b.ten[t.Name] = i
-	}
+	b.setTerms()
 	b.initTable()
 	b.initGuard()
 	return b, nil
@@ -89,8 +83,9 @@
 	r := &request{Request: in, arrived: now, deadline: now + in.TimeLeft, tenant: -1, avoidZone: -1}
 	var ok bool
 	if r.class, ok = b.class[in.Class]; !ok {
-		r.class = len(b.s.Classes) - 1
+		r.class = len(b.terms) - 1
 	}
+	r.terms = b.terms[r.class]
 	if t, ok := b.ten[in.Tenant]; ok {
 		r.tenant = t
 	}
@@ -109,8 +104,8 @@
 	}
 }
 
-// cls is the class of r.
-func (b *Balancer) cls(r *request) *Class { return &b.s.Classes[r.class] }
+// cls is the class of r, as it was when r was taken on.
+func (b *Balancer) cls(r *request) *Class { return &r.terms.Class }
 
 // aim is when the first token of r is wanted, after its arrival.
 func (b *Balancer) aim(r *request) Micros {
@@ -121,7 +116,7 @@
 // dispatch sends an attempt of r to the best replica that the rules allow, or
 // ends r if there is none and nothing is out.
 func (b *Balancer) dispatch(now Micros, r *request) bool {
-	if r.ended || len(r.attempts) >= b.s.MaxAttempts || now >= r.deadline-2*b.s.Tick {
+	if r.ended || len(r.attempts) >= r.terms.maxAttempts || now >= r.deadline-2*b.s.Tick {
 		b.settle(r)
 		return false
 	}
@@ -181,7 +176,7 @@
 func (b *Balancer) mayRepeat(now Micros, r *request, w *row) bool {
 	c := b.cls(r)
 	for _, a := range r.attempts {
-		if !a.ended && !b.s.SecondCopies {
+		if !a.ended && !r.terms.secondCopies {
 			return false
 		}
 		if c.Effect == Safe || (a.ended && a.status.NeverRan()) {
@@ -316,7 +311,7 @@
 // second copy is considered; 0: never.
 func (b *Balancer) hedgeAfter(r *request, a *attempt) Micros {
 	c := b.cls(r)
-	if !b.s.SecondCopies || c.Effect != Safe || !c.Stream || len(r.attempts) >= b.s.MaxAttempts {
+	if !r.terms.secondCopies || c.Effect != Safe || !c.Stream || len(r.attempts) >= r.terms.maxAttempts {
 		return 0
 	}
 	// Long past what is usual for so many tokens, and late enough in the aim
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -149,7 +149,7 @@
 				w.reportAt = -1
 			}
 		}
-		r := &request{Request: req(1), tenant: -1, avoidZone: -1}
+		r := &request{Request: req(1), terms: b.terms[0], tenant: -1, avoidZone: -1}
 		if got, _ := b.pick(now, r); got == nil || got.id != c.want {
 			t.Errorf("%s: picked %v, want %d", c.name, got, c.want)
 		}
@@ -228,7 +228,7 @@
 	for i := range 40 {
 		r := req(RequestID(i + 1))
 		r.Session = mix(uint64(i)) // sessions with homes of their own
-		w, _ := b.pick(now, &request{Request: r, tenant: -1, avoidZone: -1})
+		w, _ := b.pick(now, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1})
 		if w.id == 4 {
 			hits++
 		}
@@ -248,13 +248,13 @@
 		s := settings()
 		s.Self, s.Gateways = self, 3
 		b, _ := start(t, s, fleet(8)...)
-		w, kept := b.pick(101*sec, &request{Request: r, tenant: -1, avoidZone: -1})
+		w, kept := b.pick(101*sec, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1})
 		if home != 0 && w.id != home || kept <= 0 {
 			t.Fatalf("gateway %d picked %d (kept %v), another %d", self, w.id, kept, home)
 		}
 		home = w.id
 		w.charge, w.unseen = 1e6, 1e6
-		if w2, _ := b.pick(101*sec, &request{Request: r, tenant: -1, avoidZone: -1}); w2.id == home {
+		if w2, _ := b.pick(101*sec, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1}); w2.id == home {
 			t.Fatal("a jammed home is still picked")
 		}
 	}
@@ -485,7 +485,7 @@
 	} {
 		b, _ := start(t, s, fleet(3)...)
 		b.openTokens, b.openLimit, b.worthPerToken = c.open, c.limit, 1e-9
-		r := &request{Request: req(1), class: b.class[c.class], tenant: -1}
+		r := &request{Request: req(1), class: b.class[c.class], terms: b.terms[b.class[c.class]], tenant: -1}
 		seen := map[Micros]bool{}
 		for range 100 {
 			d := b.retryAfter(r)
@@ -500,7 +500,7 @@
 	}
 	s.RetryAfter = false
 	b, _ := start(t, s, fleet(1)...)
-	if d := b.retryAfter(&request{Request: req(1), tenant: -1}); d != 0 {
+	if d := b.retryAfter(&request{Request: req(1), terms: b.terms[0], tenant: -1}); d != 0 {
 		t.Errorf("advice %d where the wire has none", d)
 	}
 }
--- a/choice/inspect.go
+++ b/choice/inspect.go
@@ -7,12 +7,8 @@
 
 // What others may look at or exchange. No decision stands here.
 
-// Settings are those that the Balancer was made with.
-func (b *Balancer) Settings() Settings {
-	s := b.s
-	s.Classes = s.Classes[:len(s.Classes)-1] // the last is the module's own, for classes on no list
-	return s
-}
+// Settings are those in force.
+func (b *Balancer) Settings() Settings { return b.s }
 
 // SetSink has the orders go elsewhere from now on.
 func (b *Balancer) SetSink(out Sink) { b.out = out }
@@ -50,3 +46,34 @@
 	return [...]string{timerTick: "tick", timerDeadline: "deadline", timerHedge: "hedge", timerAim: "aim"}[token&(1<<timerBits-1)],
 		RequestID(token >> timerBits)
 }
+
+// InHand is what a class, or a tenant, has in hand.
+type InHand struct {
+	Requests int
+	Longest  Micros // the most that one of them was given from its arrival
+}
+
+// Load tells what is in hand, by class and by tenant as the requests name them,
+// and how many attempts are out on each worker that does not take work.
+func (b *Balancer) Load() (classes, tenants map[string]InHand, emptying map[ReplicaID]int) {
+	classes, tenants, emptying = map[string]InHand{}, map[string]InHand{}, map[ReplicaID]int{}
+	count := func(m map[string]InHand, name string, wait Micros) {
+		in := m[name]
+		in.Requests, in.Longest = in.Requests+1, max(in.Longest, wait)
+		m[name] = in
+	}
+	for _, r := range b.requests {
+		if _, listed := b.class[r.Class]; listed && !r.ended {
+			count(classes, r.Class, r.TimeLeft)
+		}
+		if _, listed := b.ten[r.Tenant]; listed && !r.ended {
+			count(tenants, r.Tenant, r.TimeLeft)
+		}
+	}
+	for _, w := range b.rows {
+		if w.state != MemberReady && len(w.open) > 0 {
+			emptying[w.id] = len(w.open)
+		}
+	}
+	return classes, tenants, emptying
+}
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -70,7 +70,7 @@
 		s := settings()
 		s.Classes[0].Effect, s.Classes[0].Scope, s.Classes[0].RepeatsKept = c.effect, c.scope, 5*sec
 		b, _ := start(t, s, members...)
-		r := &request{Request: req(1), tenant: -1, avoidZone: -1}
+		r := &request{Request: req(1), terms: b.terms[0], tenant: -1, avoidZone: -1}
 		r.attempts = []*attempt{{row: b.rows[0], sent: 101 * sec, ended: true, status: c.status}}
 		var got []ReplicaID
 		for _, w := range b.rows[1:] {
@@ -326,7 +326,7 @@
 func TestConnectionsDoNotLookSlow(t *testing.T) {
 	b, _ := start(t, settings(), fleet(1)...)
 	b.firstFit.n = 100
-	r := &request{Request: req(1)}
+	r := &request{Request: req(1), terms: b.terms[0]}
 	slow := false
 	for i := range 400 {
 		a := &attempt{row: b.rows[0], opened: 50_000, connected: i%8 != 0}
@@ -345,8 +345,8 @@
 	s.Tenants, s.OverShareWorth = []Tenant{{Name: "x", QuotaPerS: 10}, {Name: "y", QuotaPerS: 10}}, 0.1
 	b, _ := start(t, s, fleet(1)...)
 	b.usage[0], b.usage[1] = 30, 5
-	over := b.worth(&request{Request: req(1), tenant: 0})
-	within := b.worth(&request{Request: req(1), tenant: 1})
+	over := b.worth(&request{Request: req(1), terms: b.terms[0], tenant: 0})
+	within := b.worth(&request{Request: req(1), terms: b.terms[0], tenant: 1})
 	if over > within*0.11 {
 		t.Fatalf("over share %v, within %v", over, within)
 	}
@@ -655,7 +655,7 @@
 		if n := len(rec.take(want)); n != 1 {
 			t.Errorf("status %d: %d times %s", status, n, want)
 		}
-		if r := (&request{Request: req(2), tenant: -1, avoidZone: -1}); !b.usable(101*sec, w, r, false) {
+		if r := (&request{Request: req(2), terms: b.terms[0], tenant: -1, avoidZone: -1}); !b.usable(101*sec, w, r, false) {
 			t.Errorf("status %d: the worker rests", status)
 		}
 	}
@@ -703,7 +703,7 @@
 func TestSlowPaceIsBorneOut(t *testing.T) {
 	b, _ := start(t, settings(), fleet(1)...)
 	a := &attempt{row: b.rows[0], opened: 400_000}
-	r := &request{Request: req(1), tenant: -1}
+	r := &request{Request: req(1), terms: b.terms[0], tenant: -1}
 	b.firstFit.n, b.pace, b.paceFloor[2*a.row.zone] = 20, 1e6, 1000
 	if !b.tooSlow(r, a) {
 		t.Error("not too slow where lengths are not told")
@@ -735,7 +735,7 @@
 			t.Errorf("%d s: the old worker has read nothing", now/sec)
 		}
 	}
-	r := &request{Request: req(1), tenant: -1, avoidZone: -1}
+	r := &request{Request: req(1), terms: b.terms[0], tenant: -1, avoidZone: -1}
 	if f, g := b.guardFactor(101*sec, young, r), b.guardFactor(101*sec, old, r); f < 2*g {
 		t.Errorf("a cold worker weighs %.2f, a warm one %.2f", f, g)
 	}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -347,13 +347,21 @@
 	var ids []RequestID
 	rows := append([]*row(nil), b.rows...)
 	place := map[*row]int{}
+	// Requests may hold terms that are in force no more: those go with them.
+	var old []*terms
+	oldPlace := map[*terms]int{}
 	if a.saving {
 		ids = slices.Sorted(maps.Keys(b.requests))
 		for i, w := range rows {
 			place[w] = i
 		}
 		for _, id := range ids {
-			for _, t := range b.requests[id].attempts {
+			r := b.requests[id]
+			if _, ok := oldPlace[r.terms]; !ok && r.terms != b.terms[r.class] {
+				oldPlace[r.terms] = len(old)
+				old = append(old, r.terms)
+			}
+			for _, t := range r.attempts {
 				if _, ok := place[t.row]; !ok {
 					place[t.row] = len(rows)
 					rows = append(rows, t.row)
@@ -376,21 +384,45 @@
 			b.byID[w.id] = w
 		}
 	})
+	oldTerms := func() {
+		a.each(10, len(old), func(n int) {
+			for range n {
+				old = append(old, &terms{})
+			}
+		}, func(i int, s *archive) { archiveTerms(s, old[i]) })
+	}
+	if !a.saving {
+		oldTerms()
+	}
 	a.each(8, len(ids), func(n int) { ids = make([]RequestID, n) }, func(i int, s *archive) {
 		r := &request{}
 		if s.saving {
 			r = b.requests[ids[i]]
 		}
 		archiveRequest(s, r, rows, place)
+		at := 0 // 0: the terms in force
+		if i, ok := oldPlace[r.terms]; ok {
+			at = i + 1
+		}
+		whole(s, 21, &at)
 		if !s.saving {
 			b.requests[r.ID] = r
-			if r.class < 0 || r.class >= len(b.s.Classes) || r.tenant >= len(b.s.Tenants) {
+			switch {
+			case at > 0 && at <= len(old):
+				r.terms = old[at-1]
+			case at == 0 && r.class >= 0 && r.class < len(b.terms):
+				r.terms = b.terms[r.class]
+			default:
+				s.fail(fmt.Errorf("request %d: no such terms", r.ID))
+			}
+			if r.class < 0 || r.class >= len(b.terms) || r.tenant >= len(b.s.Tenants) {
 				s.fail(fmt.Errorf("request %d: no such class or tenant", r.ID))
 			}
 		}
 	})
 	if a.saving {
 		b.saveLedgers(a, ids, rows)
+		oldTerms()
 		return
 	}
 	a.each(9, 0, func(int) {}, func(_ int, s *archive) {
@@ -429,6 +461,22 @@
 	}
 }
 
+func archiveTerms(a *archive, t *terms) {
+	a.string(1, &t.Name)
+	whole(a, 2, &t.Aim)
+	whole(a, 3, &t.AimPer1000)
+	whole(a, 4, &t.TokenAim)
+	whole(a, 5, &t.Deadline)
+	a.float(6, &t.Worth)
+	a.float(7, &t.LateWorth)
+	whole(a, 8, &t.Effect)
+	whole(a, 9, &t.Scope)
+	whole(a, 10, &t.RepeatsKept)
+	a.bool(11, &t.Stream)
+	whole(a, 12, &t.maxAttempts)
+	a.bool(13, &t.secondCopies)
+}
+
 func archiveRow(a *archive, w *row) {
 	whole(a, 2, &w.id)
 	whole(a, 3, &w.state)
--- a/choice/snapshot_test.go
+++ b/choice/snapshot_test.go
@@ -64,13 +64,20 @@
 	if b.byID[gone.id] != nil && len(gone.open) == 0 {
 		t.Fatal("the worker did not leave")
 	}
+	// Requests taken on under terms that are in force no more.
+	s = b.Settings()
+	s.Classes = append([]Class{{Name: "other", Deadline: sec}}, s.Classes...)
+	if err := b.Reconfigure(now+2*sec, s); err != nil {
+		t.Fatal(err)
+	}
+	b.RequestArrived(now+2*sec, req(7))
 	b.paceFloor[1], b.zoneRest[1], b.zoneFails[1] = 7, 9, 2
 	return b
 }
 
 // derived are fields that are made anew from the settings or from others.
 var derived = map[string]bool{"Balancer.s": true, "Balancer.out": true, "Balancer.class": true, "Balancer.ten": true,
-	"Balancer.judge": true, "Balancer.weighed": true, "row.hash": true}
+	"Balancer.judge": true, "Balancer.weighed": true, "Balancer.terms": true, "row.hash": true}
 
 // A field of the state that the snapshot leaves out makes a replay from a
 // checkpoint go astray: each is changed by itself, and must change the bytes.
@@ -78,6 +85,9 @@
 	b := full(t)
 	state := b.Snapshot()
 	seen, n := map[uintptr]bool{}, 0
+	for _, t := range b.terms { // made anew from the settings
+		seen[reflect.ValueOf(t).Pointer()] = true
+	}
 	var walk func(path string, v reflect.Value)
 	try := func(path string, v reflect.Value, change func()) {
 		old := reflect.New(v.Type()).Elem()
@@ -163,7 +173,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(b, got, cmp.AllowUnexported(Balancer{}, table{}, guard{}, row{}, health{}, request{}, attempt{}, session{},
+	if diff := cmp.Diff(b, got, cmp.AllowUnexported(Balancer{}, table{}, guard{}, row{}, health{}, request{}, terms{}, attempt{}, session{},
 		classStats{}, kindStats{}, linearFit{}), cmpopts.IgnoreFields(Balancer{}, "out", "judge", "weighed"), cmpopts.EquateEmpty()); diff != "" {
 		t.Fatal(diff)
 	}
@@ -204,3 +214,74 @@
 		b.Snapshot()
 	}
 }
+
+// A request in hand keeps the terms it was taken on under; those that come after
+// have the new ones; what was learnt of a class goes by its name.
+func TestReconfigure(t *testing.T) {
+	s := settings()
+	s.Classes = append(s.Classes, Class{Name: "docs", Aim: sec, Deadline: 5 * sec, Worth: 1, Stream: true})
+	s.Tenants = []Tenant{{Name: "t1", QuotaPerS: 1}, {Name: "t2", QuotaPerS: 9}}
+	b, rec := start(t, s, fleet(4)...)
+	now := 101 * sec
+	r := req(1)
+	r.Tenant = "t2"
+	b.RequestArrived(now, r)
+	b.stats[0].stream, b.stats[1].stream, b.usage[0], b.usage[1] = 11, 22, 1, 2
+	next := s
+	next.Classes = []Class{{Name: "docs", Aim: sec, Deadline: 5 * sec, Worth: 1, Stream: true}, {Name: "new", Deadline: sec}}
+	next.Tenants = []Tenant{{Name: "t2", QuotaPerS: 3}}
+	next.MaxAttempts, next.SecondCopies = 1, false
+	if err := b.Reconfigure(now, next); err != nil {
+		t.Fatal(err)
+	}
+	if b.stats[0].stream != 22 || b.stats[1].stream != 0 || b.usage[0] != 2 || len(b.usage) != 1 {
+		t.Errorf("learnt: %v %v", b.stats, b.usage)
+	}
+	// The old request may still be sent three times, by its class of before.
+	for n := range 3 {
+		if got := len(b.requests[1].attempts); got != n+1 {
+			t.Fatalf("%d attempts, not %d", got, n+1)
+		}
+		b.AttemptEnded(now+sec/10, Outcome{ID: 1, Attempt: n, Replica: b.requests[1].attempts[n].row.id, Status: ConnectFailed})
+	}
+	if len(rec.take("refuse")) != 1 {
+		t.Error("not answered once")
+	}
+	// A new one has one attempt.
+	r = req(2)
+	r.Class = "docs"
+	b.RequestArrived(now, r)
+	b.AttemptEnded(now+sec/10, Outcome{ID: 2, Replica: b.requests[2].attempts[0].row.id, Status: ConnectFailed})
+	if n := len(rec.take("refuse")); n != 1 {
+		t.Errorf("answered %d times", n)
+	}
+	for name, bad := range map[string]func(*Settings){
+		"gateways": func(s *Settings) { s.Gateways = 9 }, "zone": func(s *Settings) { s.Zone = "z" },
+		"classes": func(s *Settings) { s.Classes = nil }, "reports": func(s *Settings) { s.ReportVia = ReportNone }} {
+		other := next
+		bad(&other)
+		state := b.Snapshot()
+		if err := b.Reconfigure(now, other); err == nil || !bytes.Equal(state, b.Snapshot()) {
+			t.Errorf("%s: taken, or changed by halves: %v", name, err)
+		}
+	}
+}
+
+func BenchmarkReconfigure(bench *testing.B) {
+	s := settings()
+	b, _ := start(&testing.T{}, s, fleet(1000)...)
+	for i := range RequestID(10_000) {
+		r := req(i + 1)
+		r.Session = uint64(i + 1)
+		b.RequestArrived(101*sec, r)
+	}
+	if len(b.requests) < 9_000 {
+		bench.Fatal(len(b.requests))
+	}
+	for bench.Loop() {
+		s.Classes[0].Worth++
+		if err := b.Reconfigure(102*sec, s); err != nil {
+			bench.Fatal(err)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -15,8 +15,16 @@
 	kept   float64 // mean share of the prompt found kept
 }
 
+// terms are what a request is taken on under: they hold for it to its end.
+type terms struct {
+	Class
+	maxAttempts  int
+	secondCopies bool
+}
+
 type request struct {
 	Request
+	terms             *terms
 	class             int
 	tenant            int // -1: none
 	arrived, deadline Micros
--- a/internal/capture/convert.go
+++ b/internal/capture/convert.go
@@ -105,6 +105,12 @@
 		m.ProbeEnded(now, getOutcome(id, r.Outcome))
 	case pb.Kind_KIND_MESSAGE:
 		m.PeerMessage(now, int(r.Peer), r.Body)
+	case pb.Kind_KIND_RECONFIGURE:
+		s, err := GetSettings(r.Settings)
+		if err != nil {
+			return err
+		}
+		_ = m.Reconfigure(now, s) // refused then as now: that changed nothing
 	case pb.Kind_KIND_CHECKPOINT, pb.Kind_KIND_GAP:
 	default:
 		return fmt.Errorf("a record of kind %d, which this build does not know", r.Kind)
@@ -112,8 +118,8 @@
 	return nil
 }
 
-// putSettings and GetSettings carry the module's settings as JSON under the
-// names of its fields: complete by construction.
+// putSettings writes the module's settings as JSON under the names of its
+// fields: complete by construction.
 func putSettings(s *choice.Settings) []byte {
 	text, err := json.Marshal(s)
 	if err != nil {
@@ -122,7 +128,8 @@
 	return text
 }
 
-func getSettings(text []byte) (choice.Settings, error) {
+// GetSettings reads settings as a capture has them.
+func GetSettings(text []byte) (choice.Settings, error) {
 	var s choice.Settings
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields() // a setting that is not understood would decide otherwise
--- a/internal/capture/reader.go
+++ b/internal/capture/reader.go
@@ -222,7 +222,7 @@
 		key := s.Header.Gateway + "\x00" + s.Header.Run
 		run := runs[key]
 		if run == nil {
-			settings, err := getSettings(s.Header.Settings)
+			settings, err := GetSettings(s.Header.Settings)
 			if err != nil {
 				return nil, fmt.Errorf("%s: %w", f, err)
 			}
@@ -532,7 +532,7 @@
 // constants would be.
 func WithSettings(change func(*choice.Settings)) func(*pb.Header) {
 	return func(h *pb.Header) {
-		s, err := getSettings(h.Settings)
+		s, err := GetSettings(h.Settings)
 		if err != nil {
 			panic(err) // it was opened with them
 		}
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -29,6 +29,7 @@
 	TimerFired(now choice.Micros, token uint64)
 	ProbeEnded(now choice.Micros, o choice.Outcome)
 	PeerMessage(now choice.Micros, from int, body []byte)
+	Reconfigure(now choice.Micros, s choice.Settings) error
 }
 
 // Timer is one that the module has set and that has not fired.
@@ -77,6 +78,7 @@
 	gap       *gap // records are being lost
 	watch     *incident.Watch
 	saveAfter string        // an incident to keep once the call is recorded
+	changed   bool          // the settings in force are not those that the run began with
 	savedAt   choice.Micros // when that was last ordered by itself
 	firing    *Timer        // the one that is about to be told: it is not pending with the host any more
 
@@ -287,6 +289,10 @@
 		r.append()
 	}
 	c := &pb.Checkpoint{State: r.b.Snapshot()}
+	if r.changed {
+		s := r.b.Settings()
+		c.Settings = putSettings(&s)
+	}
 	if r.host.Timers != nil {
 		for _, t := range r.host.Timers() {
 			c.Timers = append(c.Timers, &pb.Timer{AtUs: t.At, Token: t.Token})
@@ -426,6 +432,25 @@
 	}
 }
 
+func (r *Recorder) Reconfigure(now choice.Micros, s choice.Settings) error {
+	rec := r.begin(now, pb.Kind_KIND_RECONFIGURE)
+	if rec {
+		r.rec.Settings = putSettings(&s)
+	}
+	err := r.b.Reconfigure(now, s)
+	if err == nil {
+		r.changed = true
+		if r.watch != nil {
+			r.watch.Reconfigured(s)
+		}
+	}
+	if rec {
+		r.commit()
+		r.rec.Settings = nil
+	}
+	return err
+}
+
 // note keeps the reason of an incident until the call is recorded whole.
 func (r *Recorder) note(reason string) {
 	if reason != "" && r.saveAfter == "" && r.gap == nil {
--- a/internal/incident/watch.go
+++ b/internal/incident/watch.go
@@ -81,6 +81,14 @@
 	return w
 }
 
+// Reconfigured takes other settings over for what arrives from now on.
+func (w *Watch) Reconfigured(m choice.Settings) {
+	w.classes, w.attempts = map[string]choice.Class{}, max(w.attempts, m.MaxAttempts)
+	for _, c := range m.Classes {
+		w.classes[c.Name] = c
+	}
+}
+
 // turn moves on to the bucket of a time and empties those passed over.
 func (w *Watch) turn(now choice.Micros) int {
 	each := max(1, w.s.Over/spans)
--- a/internal/replay/drive_test.go
+++ b/internal/replay/drive_test.go
@@ -30,18 +30,19 @@
 // drawn outcomes, and tells the module in the order of time. It knows no more
 // of captures than that the module may be a recorder.
 type host struct {
-	t       *testing.T
-	rng     *rand.Rand
-	m       capture.Module
-	b       *choice.Balancer
-	now     choice.Micros
-	todo    schedule
-	seq     uint64
-	timers  map[uint64]capture.Timer // by sequence
-	open    map[choice.RequestID]*hosted
-	slow    float64
-	events  int
-	onEvent func()
+	t        *testing.T
+	rng      *rand.Rand
+	m        capture.Module
+	b        *choice.Balancer
+	now      choice.Micros
+	todo     schedule
+	seq      uint64
+	timers   map[uint64]capture.Timer // by sequence
+	open     map[choice.RequestID]*hosted
+	slow     float64
+	events   int
+	versions int
+	onEvent  func()
 }
 
 type hosted struct {
@@ -120,6 +121,7 @@
 			h.m.ListChanged(h.now, choice.ServerList{Kind: choice.ListDelta, Members: []choice.Member{member(i, choice.MemberGone, 0)}})
 		case 2:
 			h.m.ListChanged(h.now, choice.ServerList{Kind: choice.ListFailed})
+			h.reconfigure()
 		default:
 			h.m.ListChanged(h.now, choice.ServerList{Kind: choice.ListDelta, Members: []choice.Member{member(i, choice.MemberReady, h.now-sec)}})
 		}
@@ -129,6 +131,22 @@
 	return next
 }
 
+// reconfigure puts other settings in force, in the midst of what is in hand.
+func (h *host) reconfigure() {
+	s := settings()
+	h.versions++
+	s.MaxAttempts, s.OverShareWorth = 1+h.rng.IntN(3), h.rng.Float64()
+	s.Classes[h.rng.IntN(2)].Aim = sec/4 + choice.Micros(h.rng.IntN(1_000_000))
+	if h.rng.IntN(3) == 0 {
+		s.Classes = s.Classes[h.rng.IntN(2):][:1]
+	}
+	s.Tenants = s.Tenants[:1+h.rng.IntN(2)]
+	if err := h.m.Reconfigure(h.now, s); err != nil {
+		h.t.Error(err)
+	}
+	h.told()
+}
+
 // run tells the module seconds of requests at a rate.
 func (h *host) run(seconds float64, rate float64) {
 	end := h.now + choice.Micros(seconds*1e6)
--- a/internal/replay/names.go
+++ b/internal/replay/names.go
@@ -134,6 +134,10 @@
 		}
 	case pb.Kind_KIND_MESSAGE:
 		put("peer=%d bytes=%d", r.Peer, len(r.Body))
+	case pb.Kind_KIND_RECONFIGURE:
+		if s, err := capture.GetSettings(r.Settings); err == nil {
+			put("classes=%d tenants=%d attempts=%d", len(s.Classes), len(s.Tenants), s.MaxAttempts)
+		}
 	case pb.Kind_KIND_CHECKPOINT:
 		c := r.Checkpoint
 		put("bytes=%d timers=%d", len(c.GetState()), len(c.GetTimers()))
--- a/internal/replay/perturb.go
+++ b/internal/replay/perturb.go
@@ -197,7 +197,7 @@
 				out = append(out, e)
 			}
 			begun = true
-		case pb.Kind_KIND_LIST, pb.Kind_KIND_START, pb.Kind_KIND_ARRIVED, pb.Kind_KIND_LEFT, pb.Kind_KIND_MESSAGE:
+		case pb.Kind_KIND_LIST, pb.Kind_KIND_START, pb.Kind_KIND_ARRIVED, pb.Kind_KIND_LEFT, pb.Kind_KIND_MESSAGE, pb.Kind_KIND_RECONFIGURE:
 			if begun {
 				out = append(out, e)
 			}
@@ -224,7 +224,15 @@
 	switch rec.Kind {
 	case pb.Kind_KIND_CHECKPOINT:
 		w.now = e.At
-		b, err := choice.Restore(run.Settings, rec.Checkpoint.State, w)
+		settings := run.Settings
+		if text := rec.Checkpoint.Settings; text != nil {
+			var err error
+			if settings, err = capture.GetSettings(text); err != nil {
+				return err
+			}
+		}
+		w.most = max(w.most, settings.MaxAttempts)
+		b, err := choice.Restore(settings, rec.Checkpoint.State, w)
 		if err != nil {
 			return err
 		}
@@ -259,6 +267,10 @@
 		}
 		w.open[id] = &play{recorded: rec.Request, bound: -1}
 		w.res.Requests++
+	case pb.Kind_KIND_RECONFIGURE:
+		if s, err := capture.GetSettings(rec.Settings); err == nil {
+			w.most = max(w.most, s.MaxAttempts) // what is in hand keeps its own
+		}
 	case pb.Kind_KIND_LEFT:
 		p := w.open[choice.RequestID(rec.Request)]
 		if p == nil || p.answered {
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -213,7 +213,14 @@
 			p.settle(nil, false)
 		}
 	}
-	b, err := choice.Restore(p.run.Settings, c.State, p)
+	settings := p.run.Settings
+	if c.Settings != nil {
+		var err error
+		if settings, err = capture.GetSettings(c.Settings); err != nil {
+			return err
+		}
+	}
+	b, err := choice.Restore(settings, c.State, p)
 	if err != nil {
 		return err
 	}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -28,7 +28,7 @@
 		if a.Differ != 0 || a.Gaps != 0 || a.Skipped != 0 || a.Digest != b.Digest || b.Differ != 0 {
 			t.Fatalf("clock %d: %s and %s, %v", clock, a.Line(), b.Line(), a.ByKind)
 		}
-		if a.Events < 5000 || a.Checkpoints < 10 || a.Decisions < 1000 || int(a.Events) < h.events {
+		if a.Events < 5000 || a.Checkpoints < 10 || a.Decisions < 1000 || int(a.Events) < h.events || h.versions < 5 {
 			t.Fatalf("clock %d: a poor run: %+v of %d events", clock, a, h.events)
 		}
 		// From each checkpoint on: what is left is decided as from the start.
@@ -434,6 +434,9 @@
 	check(st.Table)
 	check(st.Guard)
 	check(st.FirstFit)
+	for _, x := range st.Terms {
+		check(x)
+	}
 	for _, w := range st.Rows {
 		check(w)
 	}
