--- a/choice/inspect.go
+++ b/choice/inspect.go
@@ -50,24 +50,26 @@
 // InHand is what a class, or a tenant, has in hand.
 type InHand struct {
 	Requests int
-	Longest  Micros // the most that one of them was given from its arrival
+	Longest  Micros // the most that one that waits for its first token was given from its arrival
 }
 
 // Load tells what is in hand, by class and by tenant as the requests name them,
 // and how many attempts are out on each worker that does not take work.
 func (b *Balancer) Load() (classes, tenants map[string]InHand, emptying map[ReplicaID]int) {
 	classes, tenants, emptying = map[string]InHand{}, map[string]InHand{}, map[ReplicaID]int{}
-	count := func(m map[string]InHand, name string, wait Micros) {
+	count := func(m map[string]InHand, name string, r *request) {
 		in := m[name]
-		in.Requests, in.Longest = in.Requests+1, max(in.Longest, wait)
+		if in.Requests++; !r.opened {
+			in.Longest = max(in.Longest, r.TimeLeft)
+		}
 		m[name] = in
 	}
 	for _, r := range b.requests {
 		if _, listed := b.class[r.Class]; listed && !r.ended {
-			count(classes, r.Class, r.TimeLeft)
+			count(classes, r.Class, r)
 		}
 		if _, listed := b.ten[r.Tenant]; listed && !r.ended {
-			count(tenants, r.Tenant, r.TimeLeft)
+			count(tenants, r.Tenant, r)
 		}
 	}
 	for _, w := range b.rows {
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -10,6 +10,11 @@
 type configCmd struct {
 	Check checkCmd `cmd:"" help:"Check a file of settings and tell all that is wrong with it."`
 	Show  showCmd  `cmd:"" help:"Show all settings with their values, in the form of a file."`
+	Diff  diffCmd  `cmd:"" help:"Tell where two files of settings differ."`
+
+	Status   statusCmd   `cmd:"" help:"Tell which streamed version a running gateway has in force."`
+	History  historyCmd  `cmd:"" help:"Tell what became of the versions that came to a running gateway."`
+	Rollback rollbackCmd `cmd:"" help:"Have a running gateway go back to the version before."`
 }
 
 type checkCmd struct {
--- /dev/null
+++ b/internal/cli/version.go
@@ -0,0 +1,163 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"text/tabwriter"
+
+	"archknot/internal/conf"
+	"archknot/internal/confstream"
+	"archknot/internal/control"
+	"archknot/internal/lifecycle"
+)
+
+// socketFlags find a running gateway's control socket.
+type socketFlags struct {
+	Socket string `placeholder:"PATH" help:"The gateway's control socket, if not that of the settings."`
+	Config string `env:"ARCHKNOT_CONF" placeholder:"FILE" help:"The gateway's settings, for the socket's path."`
+}
+
+// call gives the gateway an order. An answer that is no is told and returned as no.
+func (f *socketFlags) call(s *streams, name string, order, answer any) error {
+	path := f.Socket
+	if path == "" {
+		got, err := conf.Load(f.Config)
+		if err != nil {
+			return err
+		}
+		if path = got.Control.Socket; path == "" {
+			return errors.New("no socket: name it by --socket, or by control.socket in the settings")
+		}
+	}
+	err := control.Call(context.Background(), path, name, order, answer)
+	var refused control.Refused
+	if errors.As(err, &refused) {
+		fmt.Fprintf(s.err, "archknot: the gateway cannot: %v\n", refused)
+		return no
+	}
+	if err != nil {
+		return fmt.Errorf("no gateway answers at %s: %w", path, err)
+	}
+	return nil
+}
+
+type statusCmd struct {
+	socketFlags
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+func (statusCmd) Help() string {
+	return "Exit code 1: the gateway has no control service.\n\nExample:\n  archknot config status --config deploy/archknot.conf"
+}
+
+func (c *statusCmd) Run(s *streams) error {
+	var a lifecycle.Status
+	if err := c.call(s, "config/status", struct{}{}, &a); err != nil {
+		return err
+	}
+	return s.status(a, c.JSON)
+}
+
+func (s *streams) status(a lifecycle.Status, json bool) error {
+	if json {
+		return s.print(a)
+	}
+	from := fmt.Sprint("version ", a.Version)
+	if a.Version == 0 {
+		from = "the files"
+	}
+	fmt.Fprintf(s.out, "service=%s connected=%t in_force=%q classes=%d tenants=%d marks=%d\n", a.Service, a.Connected, from, a.Classes, a.Tenants, a.Marks)
+	return nil
+}
+
+type historyCmd struct {
+	socketFlags
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+func (historyCmd) Help() string {
+	return "What became of each version that came, the oldest first: taken, refused, waits, proved, givenback, passed.\n\n" +
+		"Example:\n  archknot config history --config deploy/archknot.conf"
+}
+
+func (c *historyCmd) Run(s *streams) error {
+	var list []confstream.Line
+	if err := c.call(s, "config/history", struct{}{}, &list); err != nil {
+		return err
+	}
+	if c.JSON {
+		return s.print(list)
+	}
+	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	for _, l := range list {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", l.At.Format("2006-01-02T15:04:05.000Z"), l.Version, l.What, l.Reason)
+	}
+	return w.Flush()
+}
+
+type rollbackCmd struct {
+	socketFlags
+	Reason string `default:"ordered" help:"Why: it goes into the history and to the service."`
+	JSON   bool   `name:"json" help:"Print JSON."`
+}
+
+func (rollbackCmd) Help() string {
+	return "The version in force is given back to the service as a refusal, and not taken again.\n" +
+		"Exit code 1: there is none, or what is in hand does not allow it yet.\n\n" +
+		"Example:\n  archknot config rollback --config deploy/archknot.conf --reason 'chat is late since ten'"
+}
+
+func (c *rollbackCmd) Run(s *streams) error {
+	var a lifecycle.Status
+	if err := c.call(s, "config/rollback", lifecycle.RollbackOrder{Reason: c.Reason}, &a); err != nil {
+		return err
+	}
+	return s.status(a, c.JSON)
+}
+
+type diffCmd struct {
+	One   string `arg:"" help:"A file of settings."`
+	Other string `arg:"" optional:"" help:"Another; without it, the defaults."`
+	JSON  bool   `name:"json" help:"Print JSON."`
+}
+
+func (diffCmd) Help() string {
+	return "Exit code 0: they say the same; 1: they differ.\n\nExample:\n  archknot config diff deploy/archknot.conf"
+}
+
+func (c *diffCmd) Run(s *streams) error {
+	one, err := conf.Load(c.One)
+	if err != nil {
+		return err
+	}
+	other, err := conf.Load(c.Other)
+	if err != nil {
+		return err
+	}
+	type line struct {
+		Key   string `json:"key"`
+		One   string `json:"one"`
+		Other string `json:"other"`
+	}
+	differ := []line{}
+	b := other.Settings()
+	for i, a := range one.Settings() {
+		if a.Value != b[i].Value {
+			differ = append(differ, line{a.Section + "." + a.Key, a.Value, b[i].Value})
+		}
+	}
+	if c.JSON {
+		if err := s.print(differ); err != nil {
+			return err
+		}
+	} else {
+		for _, d := range differ {
+			fmt.Fprintf(s.out, "%s: %q, %q\n", d.Key, d.One, d.Other)
+		}
+	}
+	if len(differ) > 0 {
+		return no
+	}
+	return nil
+}
--- a/internal/conf/schema.go
+++ b/internal/conf/schema.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -21,6 +22,7 @@
 	Control  Control
 	Capture  Capture
 	Incident Incident
+	Service  Service
 }
 
 // Log is what is written to standard error.
@@ -43,6 +45,19 @@
 	KeepAge     time.Duration
 }
 
+// Service is the control service that the configuration is streamed from.
+type Service struct {
+	Address string
+	Form    string
+	Cert    string
+	Key     string
+	CA      string
+	Name    string
+	Store   string
+	Between time.Duration
+	Stall   time.Duration
+}
+
 // Incident is when the last minutes of a capture are kept by themselves.
 type Incident struct {
 	Directory    string
@@ -102,6 +117,17 @@
 			share("slow-workers", &c.Incident.SlowWorkers, "80%", "slow workers that trigger, among those heard of in the span"),
 			duration("near-deadline", &c.Incident.NearDeadline, "500us", 0, time.Second, "a final answer later than this before the client's deadline triggers: a rule was about to break; 0s never"),
 		}},
+		{"control-service", "The control service that numbered versions of the configuration come from: docs/operate/streamed-configuration.md.", []key{
+			path("address", &c.Service.Address, "", "host:port; none if not given, and then nothing is streamed"),
+			choiceOf("form", &c.Service.Form, "world", "the stream's form: all resources each time, or changes only", "world", "delta"),
+			path("cert", &c.Service.Cert, "", "the gateway's certificate (PEM); needed but for loopback addresses"),
+			path("key", &c.Service.Key, "", "and its key"),
+			path("ca", &c.Service.CA, "", "who may have issued the service's certificate (PEM)"),
+			path("name", &c.Service.Name, "", "that the service's certificate must be for, if not the address's host"),
+			path("store", &c.Service.Store, "", "where the last good version and the history are kept; nothing is kept if not given"),
+			duration("between", &c.Service.Between, "1s", 0, time.Hour, "the least time from one version taken to the next"),
+			duration("stall", &c.Service.Stall, "10s", time.Second, time.Hour, "how long a version may stay incomplete before the stream is dropped"),
+		}},
 	}
 }
 
@@ -337,6 +363,18 @@
 	case c.Incident.Window > p.KeepAge:
 		at("incident.window", "expected at most capture.keep-age (%s): older files are gone", showDuration(p.KeepAge))
 	}
+	v := &c.Service
+	if host, port, err := net.SplitHostPort(v.Address); v.Address != "" {
+		ip := net.ParseIP(host)
+		switch {
+		case err != nil || port == "":
+			at("control-service.address", "expected host:port, got %q", v.Address)
+		case (v.Cert == "") != (v.Key == "") || (v.Cert == "") != (v.CA == ""):
+			at("control-service.cert", "cert, key and ca go together")
+		case v.Cert == "" && (ip == nil || !ip.IsLoopback()):
+			at("control-service.cert", "needed: without certificates only a loopback address will do")
+		}
+	}
 	c.Incident.Directory = cmp.Or(c.Incident.Directory, filepath.Join(p.Directory, "incidents"))
 }
 
--- /dev/null
+++ b/internal/confstream/decode.go
@@ -0,0 +1,218 @@
+// Package confstream is the gateway's side of a streamed configuration: the
+// aggregated discovery service of xDS v3 over gRPC, both in its state-of-the-world
+// and its incremental form, and the store of the last good version. What becomes
+// of a version is decided by package revision.
+package confstream
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"archknot/choice"
+	"archknot/internal/revision"
+	pb "archknot/internal/revision/configpb"
+)
+
+// URLPrefix begins the type URLs of our resources.
+const URLPrefix = "type.googleapis.com/archknot.config.v1."
+
+// URL is the type URL of a type.
+func URL(t revision.Type) string { return URLPrefix + string(t) }
+
+// TypeOf is the type of a URL, if it is one of ours.
+func TypeOf(url string) (revision.Type, bool) {
+	name, ok := strings.CutPrefix(url, URLPrefix)
+	if !ok {
+		return "", false
+	}
+	for _, t := range revision.Types {
+		if string(t) == name {
+			return t, true
+		}
+	}
+	return "", false
+}
+
+// whole reads a number that must fit an int.
+func whole(v uint32) int { return int(min(v, math.MaxInt32)) }
+
+// Decode reads the resources of one type.
+func Decode(t revision.Type, resources [][]byte) (*revision.Part, error) {
+	if t == revision.TypeVersion {
+		return decodeVersion(resources)
+	}
+	fills := make([]func(*revision.Config), 0, len(resources))
+	for i, raw := range resources {
+		fill, err := decodeOne(t, raw)
+		if err != nil {
+			return nil, fmt.Errorf("resource %d: %w", i, err)
+		}
+		fills = append(fills, fill)
+	}
+	switch t {
+	case revision.TypeClass, revision.TypeTenant, revision.TypeWorker:
+	default:
+		if len(resources) != 1 {
+			return nil, fmt.Errorf("expected one resource, got %d", len(resources))
+		}
+	}
+	return &revision.Part{Fill: func(c *revision.Config) {
+		switch t { // also where the list is empty
+		case revision.TypeClass:
+			c.HasClasses = true
+		case revision.TypeTenant:
+			c.HasTenants = true
+		case revision.TypeWorker:
+			c.HasWorkers = true
+		}
+		for _, fill := range fills {
+			fill(c)
+		}
+		if c.Resources == nil {
+			c.Resources = map[revision.Type][][]byte{}
+		}
+		c.Resources[t] = resources
+	}}, nil
+}
+
+func decodeVersion(resources [][]byte) (*revision.Part, error) {
+	if len(resources) != 1 {
+		return nil, fmt.Errorf("expected one resource, got %d", len(resources))
+	}
+	var v pb.Version
+	if err := proto.Unmarshal(resources[0], &v); err != nil {
+		return nil, err
+	}
+	m := &revision.Manifest{Number: revision.Number(v.Number), Types: map[revision.Type]string{},
+		Stage: revision.Stage{FirstPercent: whole(v.FirstPercent), Hold: v.HoldUs, WorseBy: v.WorseBy}}
+	for name, version := range v.Types {
+		t, ok := TypeOf(URLPrefix + name)
+		if !ok || t == revision.TypeVersion {
+			return nil, fmt.Errorf("types: %q is no type of resources", name)
+		}
+		m.Types[t] = version
+	}
+	return &revision.Part{Manifest: m, Fill: func(c *revision.Config) {
+		if c.Resources == nil {
+			c.Resources = map[revision.Type][][]byte{}
+		}
+		c.Resources[revision.TypeVersion] = resources
+	}}, nil
+}
+
+// decodeOne reads one resource of a type other than Version.
+func decodeOne(t revision.Type, raw []byte) (func(*revision.Config), error) {
+	read := func(m proto.Message) error { return proto.Unmarshal(raw, m) }
+	switch t {
+	case revision.TypeClass:
+		var m pb.Class
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		k := choice.Class{Name: m.Name, Aim: m.AimUs, AimPer1000: m.AimPer_1000Us, TokenAim: m.TokenAimUs, Deadline: m.DeadlineUs, Worth: m.Worth,
+			LateWorth: m.LateWorth, Effect: choice.Effect(min(uint32(m.Effect), 255)), Scope: choice.Scope(min(uint32(m.Scope), 255)), RepeatsKept: m.RepeatsKeptUs, Stream: m.Stream}
+		return func(c *revision.Config) { c.Classes = append(c.Classes, k) }, nil
+	case revision.TypeTenant:
+		var m pb.Tenant
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		return func(c *revision.Config) {
+			c.Tenants = append(c.Tenants, revision.Tenant{Name: m.Name, QuotaPerS: m.QuotaPerS, Share: m.Share})
+		}, nil
+	case revision.TypeWorker:
+		var m pb.Worker
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		return func(c *revision.Config) {
+			c.Workers = append(c.Workers, revision.Mark{Name: m.Name, Mark: revision.MarkKind(min(uint32(m.Mark), 255))})
+		}, nil
+	case revision.TypeAttempts:
+		var m pb.Attempts
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		return func(c *revision.Config) {
+			c.Attempts = &revision.Attempts{Most: whole(m.Most), SecondCopies: m.SecondCopies}
+		}, nil
+	case revision.TypeAdmission:
+		var m pb.Admission
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		return func(c *revision.Config) {
+			c.Admission = &revision.Admission{MostHeld: whole(m.MostHeld), OverShareWorth: m.OverShareWorth, MaxRetryAfter: m.MaxRetryAfterUs}
+		}, nil
+	case revision.TypeConnections:
+		var m pb.Connections
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		return func(c *revision.Config) {
+			c.Connections = &revision.Connections{Clients: whole(m.Clients), Workers: whole(m.Workers), Idle: m.IdleUs, ConnectTimeout: m.ConnectTimeoutUs}
+		}, nil
+	case revision.TypeWatch:
+		var m pb.Watch
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		return func(c *revision.Config) { c.Watch = &revision.Watch{Wait: m.WaitUs, CallTimeout: m.CallTimeoutUs} }, nil
+	case revision.TypeCapture:
+		var m pb.Capture
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		return func(c *revision.Config) {
+			c.Capture = &revision.Capture{Record: m.Record, Checkpoint: m.CheckpointUs, KeepBytes: m.KeepBytes, KeepAge: m.KeepAgeUs}
+		}, nil
+	case revision.TypeLog:
+		var m pb.Log
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		return func(c *revision.Config) { c.Log = &revision.Log{Level: m.Level} }, nil
+	}
+	return nil, fmt.Errorf("no type %q", t)
+}
+
+// Pack is a version in the store's form.
+func Pack(c *revision.Config) ([]byte, error) {
+	var s pb.Stored
+	for _, t := range revision.Types {
+		if raw, ok := c.Resources[t]; ok {
+			s.Parts = append(s.Parts, &pb.Stored_Part{Type: string(t), Resources: raw})
+		}
+	}
+	return proto.Marshal(&s)
+}
+
+// Unpack reads a version as Pack wrote it.
+func Unpack(text []byte) (*revision.Config, error) {
+	var s pb.Stored
+	if err := proto.Unmarshal(text, &s); err != nil {
+		return nil, err
+	}
+	c := &revision.Config{}
+	for _, p := range s.Parts {
+		t, ok := TypeOf(URLPrefix + p.Type)
+		if !ok {
+			return nil, fmt.Errorf("no type %q", p.Type)
+		}
+		part, err := Decode(t, p.Resources)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", t, err)
+		}
+		if m := part.Manifest; m != nil {
+			c.Number, c.Stage = m.Number, m.Stage
+		}
+		part.Fill(c)
+	}
+	if c.Number == 0 {
+		return nil, fmt.Errorf("it has no number")
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/confstream/store.go
@@ -0,0 +1,183 @@
+package confstream
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"archknot/internal/revision"
+)
+
+// Store keeps the last good version, those that must not be taken again, and a
+// history, over restarts. Each change is one transaction: a kill at any point
+// leaves the state of before or the state after.
+type Store struct{ db *bbolt.DB }
+
+var (
+	stateBucket   = []byte("state")
+	historyBucket = []byte("history")
+	forceKey      = []byte("force")
+	neverKey      = []byte("never")
+)
+
+// maxHistory bounds the lines of the history.
+const maxHistory = 1000
+
+// Line is one line of the history.
+type Line struct {
+	At      time.Time       `json:"at"`
+	Version revision.Number `json:"version"`
+	What    string          `json:"what"`
+	Reason  string          `json:"reason,omitempty"`
+}
+
+// OpenStore opens the store at a path, mode 0600. One that is damaged is set
+// aside, and aside is its new name: a new one takes its place.
+func OpenStore(path string) (s *Store, aside string, err error) {
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return nil, "", err
+	}
+	s, err = openStore(path)
+	if err == nil || errors.Is(err, bbolt.ErrTimeout) {
+		return s, "", err
+	}
+	var perr *os.PathError
+	if errors.As(err, &perr) {
+		return nil, "", err
+	}
+	aside = fmt.Sprintf("%s.damaged-%s", path, time.Now().UTC().Format("20060102T150405.000"))
+	if rerr := os.Rename(path, aside); rerr != nil {
+		return nil, "", errors.Join(err, rerr)
+	}
+	s, err = openStore(path)
+	return s, aside, err
+}
+
+func openStore(path string) (s *Store, err error) {
+	var db *bbolt.DB
+	defer func() {
+		// Pages that point nowhere make the library panic.
+		if p := recover(); p != nil {
+			err = fmt.Errorf("damaged: %v", p)
+		}
+		if err != nil && db != nil {
+			db.Close()
+		}
+	}()
+	if db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second}); err != nil {
+		return nil, err
+	}
+	err = db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range [][]byte{stateBucket, historyBucket} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		for err := range tx.Check() {
+			return fmt.Errorf("damaged: %w", err)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	s = &Store{db}
+	if _, _, err := s.Load(); err != nil {
+		return nil, fmt.Errorf("damaged: %w", err)
+	}
+	return s, nil
+}
+
+// Close closes the store.
+func (s *Store) Close() error { return s.db.Close() }
+
+// Load is the last good version, nil if there is none, and those that must not be
+// taken again.
+func (s *Store) Load() (c *revision.Config, never []revision.Number, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(stateBucket)
+		if text := b.Get(neverKey); text != nil {
+			if err := json.Unmarshal(text, &never); err != nil {
+				return err
+			}
+		}
+		text := b.Get(forceKey)
+		if text == nil {
+			return nil
+		}
+		var err error
+		c, err = Unpack(append([]byte(nil), text...))
+		return err
+	})
+	return c, never, err
+}
+
+// Keep puts a version in the place of the last good one; nil is the files.
+func (s *Store) Keep(c *revision.Config, never []revision.Number) error {
+	list, err := json.Marshal(never)
+	if err != nil {
+		return err
+	}
+	var text []byte
+	if c != nil {
+		if text, err = Pack(c); err != nil {
+			return err
+		}
+	}
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(stateBucket)
+		if err := b.Put(neverKey, list); err != nil {
+			return err
+		}
+		if text == nil {
+			return b.Delete(forceKey)
+		}
+		return b.Put(forceKey, text)
+	})
+}
+
+// Note adds a line to the history and drops the oldest past the bound.
+func (s *Store) Note(l Line) error {
+	text, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(historyBucket)
+		n, err := b.NextSequence()
+		if err != nil {
+			return err
+		}
+		if err := b.Put(binary.BigEndian.AppendUint64(nil, n), text); err != nil {
+			return err
+		}
+		c := b.Cursor()
+		for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k)+maxHistory <= n; k, _ = c.First() {
+			if err := b.Delete(k); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// History lists the lines, the oldest first.
+func (s *Store) History() (out []Line, err error) {
+	err = s.db.View(func(tx *bbolt.Tx) error {
+		return tx.Bucket(historyBucket).ForEach(func(_, text []byte) error {
+			var l Line
+			if err := json.Unmarshal(text, &l); err != nil {
+				return err
+			}
+			out = append(out, l)
+			return nil
+		})
+	})
+	return out, err
+}
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -114,7 +114,8 @@
 		return
 	}
 	job.BodyLen(len(body))
-	if conn.over || !g.clients.enter(job.ID, g.o.MostHeld) {
+	live := g.live.Load()
+	if conn.over || !g.clients.enter(job.ID, live.mostHeld) {
 		if g.clients.open(job.ID) {
 			// A second copy of what is out: the worker would run it twice.
 			g.turnAway(w, inHand)
@@ -126,9 +127,12 @@
 	}
 	defer g.clients.leave(job.ID)
 
-	req := memory.NewRequest(r.Context(), job.ID, job.Request, sentAt+job.Wait, g.o.Settings.MaxAttempts)
+	req := memory.NewRequest(r.Context(), job.ID, job.Request, sentAt+job.Wait, max(mostAttempts, g.o.Settings.MaxAttempts))
 	answer, worker, delegations, first, retryAfter := "left", "", 0, choice.Micros(0), choice.Micros(0)
 	defer func() {
+		if g.o.Ended != nil {
+			g.o.Ended(live.bad(&job, answer, first))
+		}
 		slog.LogAttrs(context.Background(), slog.LevelInfo, "request", slog.String("id", job.ID), slog.String("class", job.Request.Class),
 			slog.String("key", fmt.Sprintf("%016x", job.Request.Session)), slog.String("answer", answer), slog.Int("delegations", delegations),
 			slog.String("worker", worker), slog.Int64("wait_ms", job.Wait/1000), slog.Int64("first_ms", first/1000),
@@ -206,7 +210,7 @@
 // checkClass turns away classes that the settings do not name, and gives the
 // class's deadline to a request that tells none.
 func (g *Gateway) checkClass(job *socket.Job) error {
-	for _, c := range g.o.Settings.Classes {
+	for _, c := range g.live.Load().classes {
 		if c.Name == job.Request.Class {
 			job.Wait = cmp.Or(job.Wait, c.Deadline)
 			return nil
@@ -220,7 +224,7 @@
 func (g *Gateway) full(w http.ResponseWriter) {
 	const retryAfter choice.Micros = 500_000
 	w.Header().Set("Connection", "close")
-	overload(w, min(retryAfter, g.o.Settings.MaxRetryAfter))
+	overload(w, min(retryAfter, g.live.Load().maxRetryAfter))
 }
 
 // problem is a request that is not taken on.
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -17,7 +17,7 @@
 // take up.
 type clients struct {
 	clock clock
-	most  int          // connections held
+	most  atomic.Int64 // connections held
 	spare int          // and so many past them
 	bytes atomic.Int64 // of bodies held
 
@@ -28,8 +28,9 @@
 }
 
 func newClients(most, spare int, c clock) *clients {
-	return &clients{clock: c, most: most, spare: spare, conns: map[*clientConn]struct{}{},
-		ids: map[string]struct{}{}, freed: make(chan struct{}, 1)}
+	cs := &clients{clock: c, spare: spare, conns: map[*clientConn]struct{}{}, ids: map[string]struct{}{}, freed: make(chan struct{}, 1)}
+	cs.most.Store(int64(most))
+	return cs
 }
 
 // enter takes a request in hand, unless there are too many or one has its id.
@@ -187,10 +188,10 @@
 	}
 	conn := &clientConn{Conn: nc, clients: c}
 	conn.quiet.Store(c.clock.now())
-	for c.count() >= c.most && !conn.over {
+	for c.count() >= int(c.most.Load()) && !conn.over {
 		conn.over = !c.closeOne(nil)
 	}
-	for c.count() >= c.most+c.spare && !c.closeOne(nil) {
+	for c.count() >= int(c.most.Load())+c.spare && !c.closeOne(nil) {
 		// Not even for that is there a descriptor: the next ones wait in the
 		// system's queue.
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,12 +34,15 @@
 	ClientIdle     time.Duration // one from a client
 	Stall          time.Duration // a begun stream without an event for so long is given up
 	ProbeTimeout   time.Duration
+	AskWithin      time.Duration // after so long without asking, a change counts as told
 	WatchWait      time.Duration // how long the registry may hold a watch call
 	CallTimeout    time.Duration // how much longer an answer of the registry may take
 	LateStart      time.Duration // after which the saved list will do to be ready
 	DrainAccept    time.Duration // how long SIGTERM leaves the listener open
 
 	Capture *Capture // nil: nothing is recorded
+
+	Ended func(bad bool) // told of each request that ends: late or not served, or well; nil: nobody
 }
 
 // Gateway serves clients by the decisions of one choice.Balancer.
@@ -52,7 +55,8 @@
 	loop     *loop
 	server   *http.Server
 	clients  *clients
-	rareFull rare // lines that clients can cause at will
+	live     atomic.Pointer[live] // what versions may change, as other tasks than the loop see it
+	rareFull rare                 // lines that clients can cause at will
 	rareAway rare
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -63,6 +67,8 @@
 	g := &Gateway{o: o, clock: newClock(), moves: make(chan string, 1),
 		pool: memory.NewPool(o.WorkerConns, o.ConnIdle, o.ConnectTimeout)}
 	g.registry = caller{pool: memory.NewPool(2, o.ConnIdle, o.CallTimeout)}
+	g.live.Store(&live{classes: o.Settings.Classes, mostHeld: o.MostHeld, maxRetryAfter: o.Settings.MaxRetryAfter,
+		watchWait: o.WatchWait, callTimeout: o.CallTimeout})
 	g.clients = newClients(o.ClientConns, o.SpareConns, g.clock)
 	var err error
 	if g.loop, err = newLoop(g); err != nil {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -29,12 +29,14 @@
 	timers   timers
 	requests *memory.Requests
 	registry *memory.Registry
-	told     bool // the registry itself has answered
+	told     bool                       // the registry itself has answered
+	truth    map[string]socket.Instance // the list as the registry has it, without marks
+	marks    map[string]bool            // workers that a version drains
 }
 
 func newLoop(g *Gateway) (*loop, error) {
 	l := &loop{g: g, events: make(chan event, 1024), watches: make(chan struct{}, 1),
-		requests: memory.NewRequests(), registry: memory.NewRegistry()}
+		requests: memory.NewRequests(), registry: memory.NewRegistry(), truth: map[string]socket.Instance{}}
 	var err error
 	if l.b, err = choice.New(g.o.Settings, g.o.Seed, l); err != nil {
 		return nil, err
@@ -190,6 +192,16 @@
 }
 
 func (l *loop) list(in socket.List, kind choice.ListKind) {
+	l.take(in, kind)
+	l.told = l.told || kind != choice.ListSaved
+	if l.told {
+		l.setReady()
+	}
+}
+
+// take enters a list, or what marks change about it.
+func (l *loop) take(in socket.List, kind choice.ListKind) {
+	in = l.marked(in, kind)
 	out, left := l.registry.Apply(in, kind, l.g.clock.since)
 	for _, key := range left {
 		l.g.pool.CloseIdle(key)
@@ -198,10 +210,6 @@
 	if len(in.Instances) > 0 {
 		slog.Info("list", "kind", kindWords[kind], "version", in.Generation, "entries", len(in.Instances), "ready", l.registry.Ready())
 	}
-	l.told = l.told || kind != choice.ListSaved
-	if l.told {
-		l.setReady()
-	}
 }
 
 var kindWords = map[choice.ListKind]string{choice.ListDelta: "delta", choice.ListFull: "full", choice.ListSaved: "saved"}
--- /dev/null
+++ b/internal/gateway/version_test.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"archknot/internal/confstream"
+	"archknot/internal/revision"
+	pb "archknot/internal/revision/configpb"
+	"archknot/internal/standin/controlservice"
+)
+
+// versioned is a gateway that follows a control service.
+type versioned struct {
+	*running
+	c *confstream.Client
+}
+
+func (v *versioned) Apply(ctx context.Context, c *revision.Config) revision.Refusals {
+	l := revision.DefaultLimits
+	return v.ApplyVersion(ctx, c, l)
+}
+
+func (v *versioned) on() uint64 {
+	if c := v.c.InForce(); c != nil {
+		return uint64(c.Number)
+	}
+	return 0
+}
+
+func follow(t *testing.T, name, addr string, g *running) *versioned {
+	t.Helper()
+	v := &versioned{running: g}
+	o := confstream.Options{Address: addr, Machine: revision.DefaultOptions(name, 1)}
+	o.Machine.BackoffFirst, o.Machine.BackoffMost, o.Machine.Between = 20_000, 200_000, 20_000
+	o.Log = func(msg string, args ...any) { t.Log(append([]any{name, msg}, args...)...) }
+	var err error
+	if v.c, err = confstream.New(o, v); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		v.c.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() { stop(); <-done })
+	return v
+}
+
+func chatVersion(n uint64) *controlservice.Version {
+	return &controlservice.Version{Number: n, Resources: map[revision.Type][]proto.Message{
+		revision.TypeClass:    {&pb.Class{Name: "chat", AimUs: 1_000_000, TokenAimUs: 50_000, DeadlineUs: 4_000_000, Worth: float64(n), Stream: true}},
+		revision.TypeAttempts: {&pb.Attempts{Most: uint32(1 + n%3), SecondCopies: true}},
+	}}
+}
+
+// Three gateways under load take versions, good and bad, whole or not at all: no
+// request is lost, a worker that a version drains gets nothing more, and what was
+// recorded over all the versions replays alike.
+func TestVersionsUnderLoad(t *testing.T) {
+	release := make(chan struct{})
+	answer := func(c net.Conn, r *http.Request) bool {
+		if strings.HasPrefix(r.Header.Get("Req-Id"), "hold") {
+			<-release
+		}
+		time.Sleep(3 * time.Millisecond)
+		_, err := io.WriteString(c, streamHead+chunk(event1)+chunk(event2)+chunk(loadLine)+lastChunk)
+		return err == nil
+	}
+	s, err := controlservice.Start("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Vanish)
+	w1, w2, w3 := newWorker(t, "s-1", answer), newWorker(t, "s-2", answer), newWorker(t, "s-3", answer)
+	var all []*versioned
+	var dirs []string
+	for i := range 3 {
+		dir := t.TempDir()
+		dirs = append(dirs, dir)
+		g := start(t, func(o *Options) { o.Capture = captureTo(dir) }, w1, w2, w3)
+		all = append(all, follow(t, fmt.Sprint("n", i), s.Addr(), g))
+	}
+	on := func(n uint64) func() bool {
+		return func() bool {
+			for _, g := range all {
+				if g.on() != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	// The load: each client asks again and again, and every answer is a whole one.
+	ctx, stop := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	var served, wrong atomic.Int64
+	for i, g := range all {
+		for j := range 3 {
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				client := &http.Client{Transport: &http.Transport{}}
+				defer client.CloseIdleConnections()
+				for k := 0; ctx.Err() == nil; k++ {
+					req, _ := http.NewRequest("POST", "http://"+g.addr+"/v1/chat/completions", strings.NewReader(`{"stream":true}`))
+					req.Header.Set("Req-Id", fmt.Sprintf("%d-%d-%d", i, j, k))
+					req.Header.Set("Req-Kind", "chat")
+					req.Header.Set("Req-Deadline", "4000m")
+					resp, err := client.Do(req)
+					if err != nil {
+						wrong.Add(1)
+						continue
+					}
+					body, err := io.ReadAll(resp.Body)
+					resp.Body.Close()
+					if err != nil || resp.StatusCode != http.StatusOK || !strings.HasSuffix(string(body), loadLine) {
+						wrong.Add(1)
+						continue
+					}
+					served.Add(1)
+				}
+			}()
+		}
+	}
+	until(t, "load", func() bool { return served.Load() > 50 })
+	// One that waits for its first token all the while, at each gateway.
+	for i, g := range all {
+		c := dial(t, g.addr)
+		c.ask(fmt.Sprint("hold", i), "60000m")
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			c.SetDeadline(time.Now().Add(time.Minute))
+			if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != http.StatusOK {
+				wrong.Add(1)
+			}
+		}()
+	}
+	until(t, "the held ones", func() bool {
+		held := map[string]bool{}
+		for _, w := range []*worker{w1, w2, w3} {
+			w.mu.Lock()
+			for _, r := range w.got {
+				if id := r.Header.Get("Req-Id"); strings.HasPrefix(id, "hold") {
+					held[id] = true
+				}
+			}
+			w.mu.Unlock()
+		}
+		return len(held) == 3
+	})
+	s.Publish(chatVersion(1))
+	until(t, "version 1", on(1))
+	refused := func(want string) {
+		t.Helper()
+		ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+		defer stop()
+		err := s.Await(ctx, func(list []controlservice.Answer) bool {
+			who := map[string]bool{}
+			for _, a := range list {
+				if strings.Contains(a.Err, want) {
+					who[a.Gateway] = true
+				}
+			}
+			return len(who) == 3
+		})
+		if err != nil {
+			t.Fatalf("not refused: %s", want)
+		}
+	}
+	// Valid alone, not as a step: requests of the class are in hand all the time.
+	out := chatVersion(2)
+	out.Resources[revision.TypeClass] = []proto.Message{&pb.Class{Name: "docs", AimUs: 1, DeadlineUs: 4_000_000}}
+	s.Publish(out)
+	refused("version 2: Class chat: taken out with")
+	short := chatVersion(3)
+	short.Resources[revision.TypeClass][0].(*pb.Class).DeadlineUs = 2_000_000
+	s.Publish(short)
+	refused("version 3: Class chat: deadline_us: shortened")
+	if !on(1)() {
+		t.Fatal("not on version 1")
+	}
+	// A version drains a worker: nothing new goes there once it is in force.
+	drain := chatVersion(4)
+	drain.Resources[revision.TypeWorker] = []proto.Message{&pb.Worker{Name: "s-2", Mark: pb.Worker_DRAIN}}
+	s.Publish(drain)
+	until(t, "version 4", on(4))
+	_, before := w2.seen()
+	had := served.Load()
+	until(t, "more load", func() bool { return served.Load() > had+100 })
+	if _, after := w2.seen(); after > before+9 { // what was on its way when it came into force
+		t.Errorf("%d requests went to the drained worker", after-before)
+	}
+	// The drain rule: a draining worker is not brought back against the registry.
+	for _, g := range all {
+		g.reg.change(instance(w3, "draining"))
+	}
+	until(t, "the registry's word", func() bool {
+		for _, g := range all {
+			found := make(chan bool, 1)
+			g.loop.post(ctx, lookOrder{func(l *loop) { found <- l.truth["s-3"].Lifecycle == "draining" }})
+			if !<-found {
+				return false
+			}
+		}
+		return true
+	})
+	back := chatVersion(5)
+	back.Resources[revision.TypeWorker] = []proto.Message{&pb.Worker{Name: "s-3", Mark: pb.Worker_SERVE}}
+	s.Publish(back)
+	refused("version 5: Worker s-3: mark: brought back, but the registry says that it drains")
+	// Whole again, by way of a service that vanishes.
+	half := chatVersion(6)
+	half.VanishAfter = 1
+	s.Publish(half)
+	s.Vanish()
+	if err := s.Return(); err != nil {
+		t.Fatal(err)
+	}
+	for n := uint64(7); n < 13; n++ {
+		s.Publish(chatVersion(n))
+		until(t, fmt.Sprint("version ", n), on(n))
+	}
+	_, before = w2.seen()
+	until(t, "the drained worker back in use", func() bool { _, n := w2.seen(); return n > before })
+	close(release)
+	stop()
+	clients.Wait()
+	if wrong.Load() > 0 || served.Load() < 300 {
+		t.Errorf("%d served, %d not", served.Load(), wrong.Load())
+	}
+	for i, g := range all {
+		until(t, "nothing in hand", func() bool { return g.clients.held() == 0 })
+		ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+		if err := g.Record(ctx, nil); err != nil {
+			t.Fatal(err)
+		}
+		stop()
+		if n, _ := replayDir(t, dirs[i]); n < 300 {
+			t.Errorf("%d events", n)
+		}
+	}
+}
+
+// lookOrder lets a test look into the loop.
+type lookOrder struct{ f func(*loop) }
+
+func (e lookOrder) apply(l *loop) { e.f(l) }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -76,7 +76,7 @@
 		wait := time.Millisecond
 		for {
 			path := socket.ListQuery(version, wait.Milliseconds())
-			list, next, err := g.fetchList(ctx, addr, path, wait+g.o.CallTimeout)
+			list, next, err := g.fetchList(ctx, addr, path, wait+g.live.Load().callTimeout)
 			if next != "" {
 				// Another registry's versions mean nothing there: the whole list.
 				addr, version, wait = g.moved(addr, next), socket.NoVersion, time.Millisecond
@@ -88,7 +88,7 @@
 			}
 			version = list.Generation
 			g.loop.post(ctx, listed{list})
-			wait = g.o.WatchWait
+			wait = g.live.Load().watchWait
 		}
 		select { // orders given while it ran are answered by its failure
 		case <-g.loop.watches:
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -191,6 +191,7 @@
 	o.Stall = 4 * time.Second
 	o.ProbeTimeout = 250 * time.Millisecond
 	o.WatchWait = min(8*time.Second, time.Duration(extra.Rules.AskWithinUs)*time.Microsecond*4/5)
+	o.AskWithin = time.Duration(extra.Rules.AskWithinUs) * time.Microsecond
 	o.CallTimeout = 1500 * time.Millisecond
 	o.LateStart = 2 * time.Second
 	o.DrainAccept = drainAccept
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -8,19 +8,21 @@
 	"net"
 	"os"
 	"os/signal"
-	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"archknot/internal/build"
 	"archknot/internal/capture"
 	"archknot/internal/conf"
+	"archknot/internal/confstream"
 	"archknot/internal/control"
 	"archknot/internal/gateway"
 	"archknot/internal/incident"
+	"archknot/internal/revision"
 )
 
 // BadConfig says that the gateway was not started because of what it was told.
@@ -62,6 +64,10 @@
 	conf     *conf.Config
 	g        *gateway.Gateway
 	control  *control.Server
+	stream   *confstream.Client // nil: no control service
+	store    *confstream.Store
+	version  *revision.Config // in force
+	mu       sync.Mutex       // over conf: a version's parts go before it
 	registry string
 	records  chan *conf.Config // the newest settings of the recording
 }
@@ -85,6 +91,11 @@
 		return BadConfig{err}
 	}
 	s.registry = s.c.Gateway.Discovery
+	closeStream, err := s.openStream()
+	if err != nil {
+		return BadConfig{err}
+	}
+	defer closeStream()
 	s.c.Gateway.Capture = recording(s.c.Gateway.Name, s.conf)
 	runtime.GOMAXPROCS(s.c.Cores)
 	debug.SetMemoryLimit(s.c.MemoryMB << 20)
@@ -105,6 +116,14 @@
 		"conf", s.file, "capture", s.conf.Capture.Record, "build", build.Version())
 	served := make(chan error, 1)
 	go func() { served <- s.g.Serve(ctx, l) }()
+	streamed := make(chan struct{})
+	go func() { // the gateway serves meanwhile: its start never waits for the service
+		defer close(streamed)
+		if s.stream != nil {
+			s.stream.Run(ctx)
+		}
+	}()
+	defer func() { stop(); <-streamed }()
 	go s.rerecord(ctx)
 	drained := make(chan error, 1)
 	for draining := false; ; {
@@ -139,9 +158,6 @@
 
 // endRecording leaves the capture whole on disk, if the disk is quick enough.
 func (s *server) endRecording() {
-	if !s.conf.Capture.Record {
-		return
-	}
 	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
 	defer stop()
 	done := make(chan error, 1)
@@ -186,14 +202,13 @@
 		s.g.MoveRegistry(s.registry)
 	}
 	was := s.conf
+	s.mu.Lock()
+	before := s.effective()
 	s.conf = settings
-	setLevel(settings.Log.Level)
-	if !reflect.DeepEqual(was.Capture, settings.Capture) || !reflect.DeepEqual(was.Incident, settings.Incident) {
-		select {
-		case <-s.records: // not yet taken up, and now out of date
-		default:
-		}
-		s.records <- settings
+	s.follow(before)
+	s.mu.Unlock()
+	if was.Service != settings.Service {
+		slog.Warn("reload", "needs_restart", "control-service")
 	}
 	if was.Control != settings.Control {
 		if s.control != nil {
@@ -210,7 +225,8 @@
 	if s.conf.Control.Socket == "" {
 		return nil
 	}
-	s.control, err = control.Listen(s.conf.Control.Socket, map[string]control.Handler{"capture/save": s.save})
+	s.control, err = control.Listen(s.conf.Control.Socket, map[string]control.Handler{"capture/save": s.save,
+		"config/status": s.status, "config/history": s.history, "config/rollback": s.rollback})
 	return err
 }
 
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -27,9 +27,9 @@
 // Pool keeps connections for reuse and bounds how many are open.
 type Pool struct {
 	dial  net.Dialer
+	mu    sync.Mutex
 	idle  time.Duration // a kept connection is closed after so long
 	most  int           // connections open at once
-	mu    sync.Mutex
 	open  int
 	spare map[string][]*Conn // by key, the one used last at the end
 }
@@ -40,6 +40,14 @@
 	return &Pool{dial: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}, idle: idle, most: most, spare: map[string][]*Conn{}}
 }
 
+// SetLimits changes the bounds. Connections past a lower one are not cut off: none
+// is opened until enough have ended.
+func (p *Pool) SetLimits(most int, idle, connectTimeout time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most, p.idle, p.dial.Timeout = most, idle, connectTimeout
+}
+
 // Get returns a connection: of those kept under the key the one used last, or a
 // new one to addr. A key stands for one peer: what is at an address today may be
 // another than yesterday, and the connections kept lead to the one that is gone.
@@ -50,7 +58,10 @@
 	if !p.reserve() {
 		return nil, ErrFull
 	}
-	nc, err := p.dial.DialContext(ctx, "tcp", addr)
+	p.mu.Lock()
+	dial := p.dial
+	p.mu.Unlock()
+	nc, err := dial.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.release()
 		return nil, err
--- a/internal/memory/registry.go
+++ b/internal/memory/registry.go
@@ -39,6 +39,12 @@
 // Worker is the worker with the module's number, nil if the list has none.
 func (r *Registry) Worker(id choice.ReplicaID) *Worker { return r.byID[id] }
 
+// Named is the worker with the registry's own name, nil if the list has none.
+func (r *Registry) Named(name string) *Worker { return r.workers[name] }
+
+// Version is the list's, as it was told last.
+func (r *Registry) Version() int64 { return r.version }
+
 // Ready counts the workers that take work.
 func (r *Registry) Ready() int {
 	n := 0
--- a/internal/revision/config.go
+++ b/internal/revision/config.go
@@ -56,6 +56,9 @@
 	Watch       *Watch
 	Capture     *Capture
 	Log         *Log
+
+	// Resources are the messages that say all this, as they came, for the store.
+	Resources map[Type][][]byte
 }
 
 // Stage says how a version is rolled out: the first part of the gateways takes it
@@ -334,9 +337,13 @@
 // InHand is what a class has in hand.
 type InHand struct {
 	Requests int
-	Longest  choice.Micros // the most that one of them was given from its arrival
+	Longest  choice.Micros // the most that one that waits for its first token was given from its arrival
 }
 
+// clockSlack is how much more than it asked for a request may seem to have been
+// given: the loop reads its clock once a turn, a little before it takes one on.
+const clockSlack choice.Micros = 20_000
+
 // CheckStep tells why a version that is good by itself must not be taken from
 // where the gateway stands.
 func CheckStep(c *Config, l Limits, p *Present) Refusals {
@@ -346,6 +353,10 @@
 		for _, k := range c.Classes {
 			next[k.Name] = k
 		}
+		now := map[string]choice.Micros{}
+		for _, k := range p.Settings.Classes {
+			now[k.Name] = k.Deadline
+		}
 		for _, name := range sortedKeys(p.InHand) {
 			in := p.InHand[name]
 			k, ok := next[name]
@@ -353,7 +364,7 @@
 			case in.Requests == 0:
 			case !ok:
 				r.add(TypeClass, name, "", "taken out with %d requests in hand", in.Requests)
-			case k.Deadline < in.Longest:
+			case k.Deadline < now[name] && k.Deadline+clockSlack < in.Longest:
 				r.add(TypeClass, name, "deadline_us", "shortened to %d us under a request in hand that was given %d us", k.Deadline, in.Longest)
 			}
 		}
@@ -383,7 +394,7 @@
 				r.add(TypeWorker, w.Name, "mark", "brought back while it empties: %d attempts are out on it", s.Emptying)
 			}
 		}
-		if n := servingAfter(c, p); n == 0 && len(p.Workers) > 0 {
+		if servingAfter(c, p) == 0 && servingAfter(&Config{}, p) > 0 {
 			r.add(TypeWorker, "", "mark", "no worker would be left to serve")
 		}
 	}
--- /dev/null
+++ b/internal/standin/controlservice/service.go
@@ -0,0 +1,324 @@
+// Package controlservice is a stand-in for a control service: an xDS v3
+// aggregated discovery server of scripted versions, good and bad. It is for tests
+// and trials on loopback addresses only.
+package controlservice
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/genproto/googleapis/rpc/status"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"archknot/internal/revision"
+	pb "archknot/internal/revision/configpb"
+)
+
+const urlPrefix = "type.googleapis.com/archknot.config.v1."
+
+// Version is one version as the service sends it.
+type Version struct {
+	Number       uint64
+	FirstPercent uint32
+	Hold         time.Duration
+	WorseBy      float64
+	Resources    map[revision.Type][]proto.Message
+	Truncate     revision.Type // this type's resources come cut off
+	VanishAfter  int           // so many messages; 0: not at all
+	Slow         time.Duration // between two messages
+	WrongNonce   bool          // all messages have one and the same nonce
+}
+
+// Answer is what a gateway said of one response.
+type Answer struct {
+	Gateway string
+	Type    revision.Type
+	Version string // accepted so far
+	Nonce   string
+	Err     string // "" : acknowledged
+}
+
+// Service is the stand-in.
+type Service struct {
+	discovery.UnimplementedAggregatedDiscoveryServiceServer
+	addr string
+	tls  credentials.TransportCredentials
+
+	mu      sync.Mutex
+	server  *grpc.Server
+	current *Version
+	changed chan struct{} // closed at the next change
+	answers []Answer
+	news    chan struct{} // closed at the next answer
+	streams int
+	nonce   int
+}
+
+// Start listens on a loopback address; port 0 finds a free one.
+func Start(addr string, tls credentials.TransportCredentials) (*Service, error) {
+	s := &Service{addr: addr, tls: tls, changed: make(chan struct{}), news: make(chan struct{})}
+	return s, s.Return()
+}
+
+// Addr is where it listens.
+func (s *Service) Addr() string { return s.addr }
+
+// Return begins to serve, at the same address as before.
+func (s *Service) Return() error {
+	host, _, err := net.SplitHostPort(s.addr)
+	if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("%s: not a loopback address", s.addr)
+	}
+	l, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		return err
+	}
+	s.addr = l.Addr().String()
+	var o []grpc.ServerOption
+	if s.tls != nil {
+		o = append(o, grpc.Creds(s.tls))
+	}
+	g := grpc.NewServer(o...)
+	discovery.RegisterAggregatedDiscoveryServiceServer(g, s)
+	s.mu.Lock()
+	s.server = g
+	s.mu.Unlock()
+	go g.Serve(l)
+	return nil
+}
+
+// Vanish ends all streams and the listener.
+func (s *Service) Vanish() {
+	s.mu.Lock()
+	g := s.server
+	s.server = nil
+	s.mu.Unlock()
+	if g != nil {
+		g.Stop()
+	}
+}
+
+// Publish makes a version the current one.
+func (s *Service) Publish(v *Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = v
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Streams counts those opened so far.
+func (s *Service) Streams() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.streams
+}
+
+// Answers are those so far.
+func (s *Service) Answers() []Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.answers)
+}
+
+// Await waits until the answers satisfy a condition.
+func (s *Service) Await(ctx context.Context, done func([]Answer) bool) error {
+	for {
+		s.mu.Lock()
+		all, news := slices.Clone(s.answers), s.news
+		s.mu.Unlock()
+		if done(all) {
+			return nil
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (s *Service) answered(node *corev3.Node, url, version, nonce string, detail *status.Status) {
+	if nonce == "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := Answer{Gateway: node.GetId(), Type: revision.Type(url[min(len(urlPrefix), len(url)):]), Version: version, Nonce: nonce, Err: detail.GetMessage()}
+	if s.answers = append(s.answers, a); len(s.answers) > 100_000 {
+		s.answers = s.answers[50_000:]
+	}
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+func (s *Service) next(m message) string {
+	if m.same {
+		return "always"
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nonce++
+	return fmt.Sprint("n", s.nonce)
+}
+
+var errVanished = errors.New("the service vanishes")
+
+// message is what one type of a version says.
+type message struct {
+	t    revision.Type
+	name string
+	raw  []*anypb.Any
+	same bool // its nonce is that of others
+}
+
+// messages are those of a version, in the order of the types: the manifest comes
+// first for even numbers and last for odd ones.
+func (v *Version) messages() ([]message, error) {
+	manifest := &pb.Version{Number: v.Number, Types: map[string]string{}, FirstPercent: v.FirstPercent, HoldUs: v.Hold.Microseconds(), WorseBy: v.WorseBy}
+	var out []message
+	for _, t := range revision.Types {
+		list, ok := v.Resources[t]
+		if !ok {
+			continue
+		}
+		m := message{t: t, name: fmt.Sprintf("%s-%d", t, v.Number)}
+		manifest.Types[string(t)] = m.name
+		for _, r := range list {
+			a, err := anypb.New(r)
+			if err != nil {
+				return nil, err
+			}
+			if t == v.Truncate {
+				a.Value = append(a.Value[:len(a.Value)/2], 0xff)
+			}
+			m.raw = append(m.raw, a)
+		}
+		m.same = v.WrongNonce
+		out = append(out, m)
+	}
+	a, err := anypb.New(manifest)
+	if err != nil {
+		return nil, err
+	}
+	m := message{t: revision.TypeVersion, name: fmt.Sprint("v", v.Number), raw: []*anypb.Any{a}, same: v.WrongNonce}
+	if v.Number%2 == 0 {
+		return append([]message{m}, out...), nil
+	}
+	return append(out, m), nil
+}
+
+// serve sends each version to one stream, until it ends.
+func (s *Service) serve(ctx context.Context, send func(message) error) error {
+	s.mu.Lock()
+	s.streams++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		v, changed := s.current, s.changed
+		s.mu.Unlock()
+		if v != nil {
+			list, err := v.messages()
+			if err != nil {
+				return err
+			}
+			for i, m := range list {
+				if v.VanishAfter > 0 && i >= v.VanishAfter {
+					return errVanished
+				}
+				if err := send(m); err != nil {
+					return err
+				}
+				if v.Slow > 0 {
+					select {
+					case <-time.After(v.Slow):
+					case <-ctx.Done():
+						return ctx.Err()
+					}
+				}
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// StreamAggregatedResources is the state-of-the-world form.
+func (s *Service) StreamAggregatedResources(st discovery.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+	ctx, stop := context.WithCancel(st.Context())
+	defer stop()
+	go func() {
+		defer stop()
+		for {
+			m, err := st.Recv()
+			if err != nil {
+				return
+			}
+			s.answered(m.Node, m.TypeUrl, m.VersionInfo, m.ResponseNonce, m.ErrorDetail)
+		}
+	}()
+	return s.serve(ctx, func(m message) error {
+		return st.Send(&discovery.DiscoveryResponse{TypeUrl: urlPrefix + string(m.t), VersionInfo: m.name, Nonce: s.next(m), Resources: m.raw})
+	})
+}
+
+// DeltaAggregatedResources is the incremental form: only what has changed on this
+// stream is sent.
+func (s *Service) DeltaAggregatedResources(st discovery.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
+	ctx, stop := context.WithCancel(st.Context())
+	defer stop()
+	go func() {
+		defer stop()
+		for {
+			m, err := st.Recv()
+			if err != nil {
+				return
+			}
+			s.answered(m.Node, m.TypeUrl, "", m.ResponseNonce, m.ErrorDetail)
+		}
+	}()
+	sent := map[revision.Type]map[string]string{}
+	return s.serve(ctx, func(m message) error {
+		r := &discovery.DeltaDiscoveryResponse{TypeUrl: urlPrefix + string(m.t), SystemVersionInfo: m.name, Nonce: s.next(m)}
+		now := map[string]string{}
+		for i, a := range m.raw {
+			name := resourceName(m.t, i, a)
+			now[name] = string(a.Value)
+			if old, ok := sent[m.t][name]; !ok || old != now[name] {
+				r.Resources = append(r.Resources, &discovery.Resource{Name: name, Version: m.name, Resource: a})
+			}
+		}
+		for name := range sent[m.t] {
+			if _, ok := now[name]; !ok {
+				r.RemovedResources = append(r.RemovedResources, name)
+			}
+		}
+		slices.Sort(r.RemovedResources)
+		sent[m.t] = now
+		return st.Send(r)
+	})
+}
+
+// resourceName is that of a named resource, or of the only one of its type.
+func resourceName(t revision.Type, i int, a *anypb.Any) string {
+	m, err := a.UnmarshalNew()
+	if err == nil {
+		if named, ok := m.(interface{ GetName() string }); ok {
+			return named.GetName()
+		}
+	}
+	return fmt.Sprint(t, i)
+}
