--- a/choice/api.go
+++ b/choice/api.go
@@ -87,6 +87,7 @@
 	MayProbe, MayTellPeers, MayCancel, SecondCopies, RetryAfter bool
 	MaxAttempts                                                 int
 	MaxRetryAfter                                               Micros
+	HedgeShare, RetryShare                                      float64 // further attempts allowed a request; 0: the module's own figures
 
 	// Cold replicas: sent more than FallMultiple times their present capacity
 	// for FallSpan by all gateways together, they fall over.
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -1,6 +1,9 @@
 package choice
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 const (
 	// tickEvery is the rhythm of upkeep: well under the second in which
@@ -265,8 +268,8 @@
 		b.usedNow[r.tenant]++
 	}
 	calm := 1 - b.late // budgets of further attempts shrink as the fleet falls behind
-	b.hedges = math.Min(budgetCap, b.hedges+hedgeShare*calm)
-	b.retries = math.Min(budgetCap, b.retries+retryShare*calm)
+	b.hedges = math.Min(budgetCap, b.hedges+cmp.Or(b.s.HedgeShare, hedgeShare)*calm)
+	b.retries = math.Min(budgetCap, b.retries+cmp.Or(b.s.RetryShare, retryShare)*calm)
 }
 
 // worth is what r is worth a token of its charge.
--- a/choice/inspect.go
+++ b/choice/inspect.go
@@ -53,25 +53,30 @@
 	Longest  Micros // the most that one that waits for its first token was given from its arrival
 }
 
-// Load tells what is in hand, by class and by tenant as the requests name them,
+// Load tells what is in hand, by the classes and tenants in force,
 // and how many attempts are out on each worker that does not take work.
 func (b *Balancer) Load() (classes, tenants map[string]InHand, emptying map[ReplicaID]int) {
-	classes, tenants, emptying = map[string]InHand{}, map[string]InHand{}, map[ReplicaID]int{}
-	count := func(m map[string]InHand, name string, r *request) {
-		in := m[name]
+	byClass, byTenant := make([]InHand, len(b.terms)), make([]InHand, len(b.s.Tenants))
+	count := func(in *InHand, r *request) {
 		if in.Requests++; !r.opened {
 			in.Longest = max(in.Longest, r.TimeLeft)
 		}
-		m[name] = in
 	}
 	for _, r := range b.requests {
-		if _, listed := b.class[r.Class]; listed && !r.ended {
-			count(classes, r.Class, r)
+		if r.ended {
+			continue
 		}
-		if _, listed := b.ten[r.Tenant]; listed && !r.ended {
-			count(tenants, r.Tenant, r)
+		if count(&byClass[r.class], r); r.tenant >= 0 {
+			count(&byTenant[r.tenant], r)
 		}
 	}
+	classes, tenants, emptying = map[string]InHand{}, map[string]InHand{}, map[ReplicaID]int{}
+	for i, c := range b.s.Classes { // what is of no class of the list has no place there to lose
+		classes[c.Name] = byClass[i]
+	}
+	for i, t := range b.s.Tenants {
+		tenants[t.Name] = byTenant[i]
+	}
 	for _, w := range b.rows {
 		if w.state != MemberReady && len(w.open) > 0 {
 			emptying[w.id] = len(w.open)
--- a/choice/reconfigure.go
+++ b/choice/reconfigure.go
@@ -49,19 +49,38 @@
 			b.usage[i], b.usedNow[i] = usage[old], usedNow[old]
 		}
 	}
+	// Old places to new ones, so that no name is looked up for each request; what
+	// had no place may have one now.
+	classTo, tenTo := make([]int, len(stats)), make([]int, len(usage))
+	for name, old := range class {
+		classTo[old] = place(b.class, name, len(b.terms)-1)
+	}
+	for name, old := range ten {
+		tenTo[old] = place(b.ten, name, -1)
+	}
 	for _, r := range b.requests {
-		var ok bool
-		if r.class, ok = b.class[r.Class]; !ok {
-			r.class = len(b.terms) - 1
+		if r.class < len(stats)-1 {
+			r.class = classTo[r.class]
+		} else {
+			r.class = place(b.class, r.Class, len(b.terms)-1)
 		}
-		if r.tenant, ok = b.ten[r.Tenant]; !ok {
-			r.tenant = -1
+		if r.tenant >= 0 {
+			r.tenant = tenTo[r.tenant]
+		} else {
+			r.tenant = place(b.ten, r.Tenant, -1)
 		}
 	}
 	b.refresh(now)
 	return nil
 }
 
+func place(in map[string]int, name string, otherwise int) int {
+	if i, ok := in[name]; ok {
+		return i
+	}
+	return otherwise
+}
+
 // fixed tells what may not change while the module runs.
 func (s *Settings) fixed(next *Settings) error {
 	switch {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -103,6 +103,7 @@
 		{"replay " + cut, Good, "differ=0 gaps=0"},
 		{"replay --json " + dir, Good, `"differ": 0`},
 		{"replay --emit " + dir, Good, "dispatch req"},
+		{"replay --step reqc " + dir, Good, "chose "},
 		{"replay --perturb all " + dir, Good, "faults=0"},
 		{"replay --perturb odd " + dir, Wrong, "no perturbation"},
 		{"replay nowhere", Wrong, "no such file"},
--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -31,6 +31,7 @@
 	Restart bool   `help:"Begin anew at each checkpoint, from its state."`
 	Show    int    `default:"1" help:"How many differences to show, the first with all workers as they were weighed."`
 	Against string `placeholder:"BINARY" help:"Compare this build with another one's archknot, not with the record."`
+	Step    string `placeholder:"ID" help:"Explain one request, as archknot capture explain does."`
 	Accept  bool   `help:"Take all differences as intended: write them beside the capture; they do not count from then on."`
 	Perturb string `placeholder:"KINDS" help:"Harm what the module is told, and check what must hold whatever comes: late, void, duplicate, delay, lost or all, set apart by commas."`
 	Seed    uint64 `default:"1" help:"For --perturb."`
@@ -57,6 +58,9 @@
 	if c.Against != "" {
 		return c.against(s)
 	}
+	if c.Step != "" {
+		return (&explainCmd{ID: c.Step, Paths: c.Paths}).Run(s)
+	}
 	runs, err := capture.Find(c.Paths...)
 	if err != nil {
 		return err
--- a/internal/confstream/decode.go
+++ b/internal/confstream/decode.go
@@ -137,7 +137,7 @@
 			return nil, err
 		}
 		return func(c *revision.Config) {
-			c.Attempts = &revision.Attempts{Most: whole(m.Most), SecondCopies: m.SecondCopies}
+			c.Attempts = &revision.Attempts{Most: whole(m.Most), SecondCopies: m.SecondCopies, HedgeShare: m.HedgeShare, RetryShare: m.RetryShare}
 		}, nil
 	case revision.TypeAdmission:
 		var m pb.Admission
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -14,10 +14,13 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"archknot/choice"
 	"archknot/internal/confstream"
+	"archknot/internal/memory"
 	"archknot/internal/revision"
 	pb "archknot/internal/revision/configpb"
 	"archknot/internal/standin/controlservice"
+	"archknot/internal/wire/socket"
 )
 
 // versioned is a gateway that follows a control service.
@@ -233,6 +236,30 @@
 		s.Publish(chatVersion(n))
 		until(t, fmt.Sprint("version ", n), on(n))
 	}
+	// The rest of what a service can do wrong, in the same load.
+	bad := chatVersion(13)
+	bad.Resources[revision.TypeAttempts] = []proto.Message{&pb.Attempts{Most: 4}}
+	s.Publish(bad)
+	refused("version 13: Attempts: most: expected 1 to 3, got 4")
+	cut := chatVersion(14)
+	cut.Truncate = revision.TypeClass
+	s.Publish(cut)
+	refused("resource 0: proto:")
+	s.Publish(chatVersion(3))
+	refused("version 3 is older than 12")
+	if !on(12)() {
+		t.Fatal("not on version 12")
+	}
+	slow := chatVersion(15)
+	slow.Slow, slow.WrongNonce = 20*time.Millisecond, true
+	s.Publish(slow)
+	until(t, "version 15, slow and with one nonce", on(15))
+	for n := uint64(20); n < 70; n++ {
+		s.Publish(chatVersion(n))
+	}
+	if took := sinceUntil(t, "the flood's last", on(69)); took > 2*time.Second {
+		t.Errorf("the flood's last took %v", took)
+	}
 	_, before = w2.seen()
 	until(t, "the drained worker back in use", func() bool { _, n := w2.seen(); return n > before })
 	close(release)
@@ -254,6 +281,47 @@
 	}
 }
 
+func sinceUntil(t *testing.T, what string, done func() bool) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	until(t, what, done)
+	return time.Since(begin)
+}
+
+// BenchmarkApplyVersion is what applying a version takes of the loop, with 1,000
+// workers and 10,000 requests in hand.
+func BenchmarkApplyVersion(b *testing.B) {
+	g, err := New(options())
+	if err != nil {
+		b.Fatal(err)
+	}
+	l := g.loop
+	l.now = g.clock.now()
+	list := socket.List{Generation: 1}
+	for i := range 1000 {
+		list.Instances = append(list.Instances, socket.Instance{ID: fmt.Sprint("s-", i), Addr: "127.0.0.1:1", Zone: "a", Kind: "k", Lifecycle: "ready"})
+	}
+	l.list(list, choice.ListSaved)
+	for i := range 10_000 {
+		r := memory.NewRequest(context.Background(), fmt.Sprint(i), choice.Request{Class: "chat", PromptTokens: 10}, l.now+60e6, 3)
+		arrived{r}.apply(l)
+	}
+	if n := l.b.Figures().Requests; n < 9_000 {
+		b.Fatal(n)
+	}
+	limits := revision.DefaultLimits
+	c := &revision.Config{Number: 1, HasClasses: true, Classes: []choice.Class{{Name: "chat", Aim: 1e6, Deadline: 4e6, Worth: 1, Stream: true}}}
+	done := make(chan revision.Refusals, 1)
+	for b.Loop() {
+		c.Number++
+		c.Classes[0].Worth++
+		versionOrder{g.whole(c), limits, done}.apply(l)
+		if r := <-done; len(r) > 0 {
+			b.Fatal(r)
+		}
+	}
+}
+
 // lookOrder lets a test look into the loop.
 type lookOrder struct{ f func(*loop) }
 
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -260,7 +260,7 @@
 	}
 	for _, r := range runs {
 		res, err := replay.Replay(r, replay.Options{})
-		if err != nil || res.Differ != 0 || res.Gaps != 0 || res.Events == 0 || !r.Segments[len(r.Segments)-1].Closed {
+		if err != nil || res.Differ != 0 || res.Gaps != 0 || res.Checkpoints == 0 || !r.Segments[len(r.Segments)-1].Closed {
 			t.Errorf("%+v %v", res, err)
 		}
 	}
--- a/internal/revision/config.go
+++ b/internal/revision/config.go
@@ -97,6 +97,9 @@
 type Attempts struct {
 	Most         int
 	SecondCopies bool
+	// HedgeShare and RetryShare are the second copies and the retries allowed a
+	// request, in parts of 1; 0: the module's own figures.
+	HedgeShare, RetryShare float64
 }
 
 // Admission bounds what is let in.
@@ -202,6 +205,9 @@
 	if a := c.Attempts; a != nil && (a.Most < 1 || a.Most > l.MaxAttempts) {
 		r.add(TypeAttempts, "", "most", "expected 1 to %d, got %d", l.MaxAttempts, a.Most)
 	}
+	if a := c.Attempts; a != nil && !(a.HedgeShare >= 0 && a.HedgeShare <= 1 && a.RetryShare >= 0 && a.RetryShare <= 1) {
+		r.add(TypeAttempts, "", "hedge_share, retry_share", "expected 0 to 1, got %v and %v", a.HedgeShare, a.RetryShare)
+	}
 	if a := c.Admission; a != nil {
 		if a.MostHeld < 1 || a.MostHeld > l.MostHeldOver {
 			r.add(TypeAdmission, "", "most_held", "expected 1 to %d, got %d", l.MostHeldOver, a.MostHeld)
@@ -454,6 +460,7 @@
 	}
 	if a := c.Attempts; a != nil {
 		s.MaxAttempts, s.SecondCopies = a.Most, a.SecondCopies && base.SecondCopies
+		s.HedgeShare, s.RetryShare = a.HedgeShare, a.RetryShare
 	}
 	if a := c.Admission; a != nil {
 		s.OverShareWorth, s.MaxRetryAfter = a.OverShareWorth, a.MaxRetryAfter
--- a/internal/revision/model_test.go
+++ b/internal/revision/model_test.go
@@ -254,14 +254,14 @@
 	c := &Config{Number: 3, Stage: Stage{FirstPercent: 101, Hold: -1, WorseBy: 2}, HasClasses: true, HasTenants: true, HasWorkers: true,
 		Classes: []choice.Class{{Name: "chat", Aim: 5 * sec, Deadline: 3 * sec, Worth: -1, LateWorth: 2}, {Name: "chat", Deadline: 0}, {Effect: 9, Deadline: sec}},
 		Tenants: []Tenant{{Name: "a", Share: 0.6}, {Name: "b", Share: 0.5, QuotaPerS: -1}, {Name: "b"}}, Workers: []Mark{{Name: ""}, {Name: "w", Mark: 7}},
-		Attempts: &Attempts{Most: 4}, Admission: &Admission{MostHeld: 0, OverShareWorth: 2, MaxRetryAfter: -1},
+		Attempts: &Attempts{Most: 4, HedgeShare: 2}, Admission: &Admission{MostHeld: 0, OverShareWorth: 2, MaxRetryAfter: -1},
 		Connections: &Connections{Clients: 800, Workers: 800, Idle: 0, ConnectTimeout: 0}, Watch: &Watch{Wait: 0, CallTimeout: 1 << 60},
 		Capture: &Capture{Record: true, Checkpoint: 1, KeepBytes: 1}, Log: &Log{Level: "loud"}}
 	got := Check(c, DefaultLimits).Error()
 	for _, want := range []string{"Version: first_percent", "Version: hold_us", "Version: worse_by", "Class chat: aim_us: longer than the deadline",
 		"Class chat: worth", "Class chat: late_worth", "Class chat: name: missing, or given twice", "Class chat: deadline_us", "Class: effect, scope",
 		"Tenant: share: the shares sum to 1.1000, over 1", "Tenant b: quota_per_s", "Tenant b: name", "Worker: name", "Worker w: mark",
-		"Attempts: most: expected 1 to 3, got 4", "Admission: most_held", "Admission: over_share_worth", "Admission: max_retry_after_us",
+		"Attempts: most: expected 1 to 3, got 4", "Attempts: hedge_share, retry_share: expected 0 to 1, got 2 and 0", "Admission: most_held", "Admission: over_share_worth", "Admission: max_retry_after_us",
 		"Connections: clients, workers: expected 1 or more each and 1024 in all", "Connections: idle_us", "Watch: wait_us", "Watch: call_timeout_us",
 		"Capture: record: there is no folder", "Capture: checkpoint_us", "Capture: keep_bytes", "Log: level"} {
 		if !strings.Contains(got, want) {
