--- /dev/null
+++ b/internal/confstream/kill_test.go
@@ -0,0 +1,117 @@
+package confstream
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"archknot/internal/revision"
+	pb "archknot/internal/revision/configpb"
+)
+
+// keeper is the environment variable that makes the test's program one that keeps
+// versions in a store until it is killed.
+const keeper = "ARCHKNOT_TEST_KEEPER"
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv(keeper); path != "" {
+		keepForEver(path)
+	}
+	os.Exit(m.Run())
+}
+
+func keepForEver(path string) {
+	s, _, err := OpenStore(path)
+	if err != nil {
+		fmt.Println("error", err)
+		os.Exit(1)
+	}
+	c, _, err := s.Load()
+	if err != nil {
+		fmt.Println("error", err)
+		os.Exit(1)
+	}
+	n := uint64(0)
+	if c != nil {
+		n = uint64(c.Number)
+	}
+	for {
+		n++
+		raw, _ := proto.Marshal(&pb.Version{Number: n})
+		part, err := Decode(revision.TypeVersion, [][]byte{raw})
+		if err == nil {
+			next := &revision.Config{Number: revision.Number(n)}
+			part.Fill(next)
+			if err = s.Keep(next, []revision.Number{1}); err == nil {
+				err = s.Note(Line{Version: next.Number, What: revision.Taken})
+			}
+		}
+		if err != nil {
+			fmt.Println("error", err)
+			os.Exit(1)
+		}
+		fmt.Println(n)
+	}
+}
+
+// A process that is killed in the midst of keeping versions leaves a store that
+// opens, with the version that it said it had kept, or the one it was keeping.
+func TestStoreSurvivesSIGKILL(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "store")
+	rng := rand.New(rand.NewPCG(7, 7))
+	last := uint64(0)
+	for round := range 200 {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), keeper+"="+path)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewScanner(out)
+		said := last
+		for i, stop := 0, 1+rng.IntN(4); i < stop && in.Scan(); i++ {
+			n, err := strconv.ParseUint(in.Text(), 10, 64)
+			if err != nil {
+				t.Fatalf("round %d: %s", round, in.Text())
+			}
+			said = n
+		}
+		time.Sleep(time.Duration(rng.IntN(2000)) * time.Microsecond) // somewhere in the next ones
+		if err := cmd.Process.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		for in.Scan() {
+			if n, err := strconv.ParseUint(in.Text(), 10, 64); err == nil {
+				said = n
+			}
+		}
+		_ = cmd.Wait()
+		s, aside, err := OpenStore(path)
+		if err != nil || aside != "" {
+			t.Fatalf("round %d: %v, set aside as %q", round, err, aside)
+		}
+		c, never, err := s.Load()
+		if err != nil || c == nil || uint64(c.Number) < said || uint64(c.Number) > said+1 || len(never) != 1 {
+			t.Fatalf("round %d: %+v, %v; it said %d", round, c, err, said)
+		}
+		if h, err := s.History(); err != nil || len(h) == 0 || uint64(h[len(h)-1].Version) > uint64(c.Number) {
+			t.Fatalf("round %d: history %v, %v", round, len(h), err)
+		}
+		last = uint64(c.Number)
+		s.Close()
+	}
+	if last < 200 {
+		t.Errorf("only %d versions were kept", last)
+	}
+}
