--- a/internal/capture/convert.go
+++ b/internal/capture/convert.go
@@ -21,7 +21,8 @@
 	return to
 }
 
-func getReport(r *pb.Report) choice.Report {
+// GetReport is the module's form of a report; nil is none.
+func GetReport(r *pb.Report) choice.Report {
 	if r == nil {
 		return choice.Report{}
 	}
@@ -38,7 +39,7 @@
 func getOutcome(id choice.RequestID, o *pb.Outcome) choice.Outcome {
 	return choice.Outcome{ID: id, Attempt: int(o.GetAttempt()), Replica: choice.ReplicaID(o.GetWorker()),
 		Status: choice.Status(o.GetStatus()), Elapsed: o.GetElapsedUs(), Final: o.GetFinal(), Kept: int(o.GetKept()),
-		Tokens: int(o.GetTokens()), Report: getReport(o.GetReport())}
+		Tokens: int(o.GetTokens()), Report: GetReport(o.GetReport())}
 }
 
 func putArrival(to *pb.Arrival, in *choice.Request, name string) *pb.Arrival {
--- a/internal/capture/reader.go
+++ b/internal/capture/reader.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -125,15 +124,11 @@
 // readIndex takes the blocks' places from the index, if the segment has a whole
 // one.
 func (s *Segment) readIndex(r io.ReaderAt) bool {
-	var trail [trailSize]byte
 	if s.Size < headSize+trailSize {
 		return false
 	}
-	if n, _ := r.ReadAt(trail[:], s.Size-trailSize); n < trailSize || string(trail[8:]) != endMarker {
-		return false
-	}
-	at := int64(binary.LittleEndian.Uint64(trail[:]))
-	if at < headSize || at > s.Size-trailSize-headSize {
+	at, ok := trailer(r, s.Size-trailSize)
+	if !ok || at < headSize || at > s.Size-trailSize-headSize {
 		return false
 	}
 	head, err := readHead(r, at)
@@ -169,8 +164,7 @@
 			continue
 		}
 		if s.Size-at == trailSize {
-			var trail [trailSize]byte
-			if n, _ := r.ReadAt(trail[:], at); n == trailSize && string(trail[8:]) == endMarker {
+			if _, ok := trailer(r, at); ok {
 				return // the trailer of an index that cannot be read
 			}
 		}
@@ -434,17 +428,16 @@
 	var index pb.Index
 	var offset int64
 	put := func(b block) error {
-		b.seal()
-		text := append(b.appendHead(nil), b.payload...)
+		text := b.appendTo(nil)
 		_, err := out.Write(text)
 		offset += int64(len(text))
 		return err
 	}
-	text, err := proto.Marshal(header)
-	if err != nil {
-		return 0, err
+	b, err := plainBlock(blockHeader, header.ClockUs, header)
+	if err == nil {
+		err = put(b)
 	}
-	if err := put(block{kind: blockHeader, raw: uint32(len(text)), at: header.ClockUs, payload: text}); err != nil {
+	if err != nil {
 		return 0, err
 	}
 	for ; r.seg < len(run.Segments); r.seg, r.blk = r.seg+1, 0 {
@@ -475,17 +468,31 @@
 		}
 	}
 	index.Records = events
-	if text, err = proto.Marshal(&index); err != nil {
-		return 0, err
-	}
 	at := offset
-	if err := put(block{kind: blockIndex, raw: uint32(len(text)), at: index.LastUs, payload: text}); err != nil {
+	if b, err = plainBlock(blockIndex, index.LastUs, &index); err == nil {
+		err = put(b)
+	}
+	if err != nil {
 		return 0, err
 	}
 	_, err = out.Write(appendTrail(nil, at))
 	return events, err
 }
 
+// Restore makes the module as a checkpoint of the run has it, under the settings
+// that were in force then, which it returns.
+func (r *Run) Restore(c *pb.Checkpoint, out choice.Sink) (*choice.Balancer, choice.Settings, error) {
+	s := r.Settings
+	if c.Settings != nil {
+		var err error
+		if s, err = GetSettings(c.Settings); err != nil {
+			return nil, s, err
+		}
+	}
+	b, err := choice.Restore(s, c.State, out)
+	return b, s, err
+}
+
 // Bytes is the size of a run's files.
 func (r *Run) Bytes() (n int64) {
 	for _, s := range r.Segments {
@@ -515,17 +522,15 @@
 	}
 	rest := text[headSize+len(head.payload):]
 	change(&h)
-	if head.payload, err = proto.Marshal(&h); err != nil {
+	if head, err = plainBlock(blockHeader, head.at, &h); err != nil {
 		return err
 	}
-	head.raw = uint32(len(head.payload))
-	head.seal()
 	// Without the index, whose offsets no longer hold: the reader finds the
 	// blocks by themselves.
 	if at := bytes.LastIndex(rest, []byte(marker)); at >= 0 && bytes.HasSuffix(rest, []byte(endMarker)) {
 		rest = rest[:at]
 	}
-	return os.WriteFile(out, append(append(head.appendHead(nil), head.payload...), rest...), 0o600)
+	return os.WriteFile(out, append(head.appendTo(nil), rest...), 0o600)
 }
 
 // WithSettings is a change of a header's settings: what a module with other
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -117,7 +117,7 @@
 		r.watch = incident.New(o.Incident, b.Settings())
 	}
 	b.SetSink(r)
-	r.checkpoint(true)
+	r.checkpoint(true, nil)
 	return r
 }
 
@@ -134,7 +134,7 @@
 	r.now = max(r.now, now)
 	// A new segment, so that the old one is whole and closed.
 	if r.flush(); r.gap == nil {
-		r.checkpoint(true)
+		r.checkpoint(true, nil)
 	}
 	if !r.to.order(order{save: reason, done: done}) && done != nil {
 		done <- Saved{Err: errQueueFull}
@@ -155,9 +155,9 @@
 	micros := func(d time.Duration) choice.Micros { return d.Microseconds() }
 	switch {
 	case now-r.segmentAt >= micros(r.o.SegmentAge) || r.to.segmentSize() >= r.o.SegmentSize:
-		r.checkpoint(true)
+		r.checkpoint(true, nil)
 	case now-r.marked >= micros(r.o.Checkpoint):
-		r.checkpoint(false)
+		r.checkpoint(false, nil)
 	case len(r.buf) > 0 && now-r.startedAt >= micros(r.o.Flush):
 		r.flush()
 	}
@@ -165,13 +165,18 @@
 		r.gap.events++
 		return false
 	}
+	r.fresh(kind)
+	r.recording = true
+	return true
+}
+
+// fresh empties the record, which is used again and again, for another of a kind.
+func (r *Recorder) fresh(kind pb.Kind) {
 	r.rec.Kind = kind
 	r.rec.Request, r.rec.Token, r.rec.Peer = 0, 0, 0
-	r.rec.Arrival, r.rec.Outcome, r.rec.List, r.rec.Body = nil, nil, nil, nil
+	r.rec.Arrival, r.rec.Outcome, r.rec.List, r.rec.Body, r.rec.Settings = nil, nil, nil, nil, nil
 	r.rec.Checkpoint, r.rec.Gap = nil, nil
 	r.rec.Actions = r.actions[:0]
-	r.recording = true
-	return true
 }
 
 // commit puts the record into the block.
@@ -256,11 +261,7 @@
 	g := r.gap
 	r.gap = nil
 	r.to.mend()
-	r.rec.Kind, r.rec.Actions = pb.Kind_KIND_GAP, nil
-	r.rec.Request, r.rec.Token, r.rec.Peer = 0, 0, 0
-	r.rec.Arrival, r.rec.Outcome, r.rec.List, r.rec.Body, r.rec.Checkpoint = nil, nil, nil, nil, nil
-	r.rec.Gap = &pb.Gap{Events: g.events, Actions: g.actions, FromUs: g.from, Reason: g.reason}
-	if r.checkpoint(true); r.gap != nil { // no better: the same gap goes on
+	if r.checkpoint(true, g); r.gap != nil { // no better: the same gap goes on
 		g.retryAt = r.gap.retryAt
 		r.gap = g
 		return false
@@ -270,8 +271,8 @@
 }
 
 // checkpoint puts the module's whole state into a block of its own beginning, in
-// a new segment or the one at hand.
-func (r *Recorder) checkpoint(newSegment bool) {
+// a new segment or the one at hand; before it, if there was one, word of a gap.
+func (r *Recorder) checkpoint(newSegment bool, after *gap) {
 	r.flush()
 	if r.gap != nil {
 		return
@@ -285,7 +286,9 @@
 	}
 	r.flags = flagCheckpoint
 	r.first = r.seq
-	if r.rec.Kind == pb.Kind_KIND_GAP && r.rec.Gap != nil {
+	if after != nil {
+		r.fresh(pb.Kind_KIND_GAP)
+		r.rec.Gap = &pb.Gap{Events: after.events, Actions: after.actions, FromUs: after.from, Reason: after.reason}
 		r.append()
 	}
 	c := &pb.Checkpoint{State: r.b.Snapshot()}
@@ -311,11 +314,10 @@
 			c.Requests = append(c.Requests, &pb.Name{Id: uint32(id), Name: name})
 		}
 	}
-	r.rec.Kind, r.rec.Actions, r.rec.Gap, r.rec.Checkpoint = pb.Kind_KIND_CHECKPOINT, nil, nil, c
-	r.rec.Request, r.rec.Token, r.rec.Peer = 0, 0, 0
-	r.rec.Arrival, r.rec.Outcome, r.rec.List, r.rec.Body = nil, nil, nil, nil
+	r.fresh(pb.Kind_KIND_CHECKPOINT)
+	r.rec.Checkpoint = c
 	r.append()
-	r.rec.Checkpoint = nil
+	r.rec.Checkpoint = nil // its state need not be held till the next record
 	r.marked = r.now
 	// Handed over with the records that follow it, or by itself.
 }
@@ -446,7 +448,6 @@
 	}
 	if rec {
 		r.commit()
-		r.rec.Settings = nil
 	}
 	return err
 }
--- a/internal/capture/segment.go
+++ b/internal/capture/segment.go
@@ -8,6 +8,8 @@
 	"hash/crc32"
 	"io"
 
+	"google.golang.org/protobuf/proto"
+
 	"archknot/choice"
 )
 
@@ -67,12 +69,9 @@
 
 func (b *block) checkpoint() bool { return b.flags&flagCheckpoint != 0 }
 
-// seal fills in what depends on the payload.
-func (b *block) seal() {
+// appendTo writes the block, with the sums of what it holds.
+func (b *block) appendTo(out []byte) []byte {
 	b.stored, b.sum = uint32(len(b.payload)), crc32.Checksum(b.payload, castagnoli)
-}
-
-func (b *block) appendHead(out []byte) []byte {
 	at := len(out)
 	out = append(out, marker...)
 	out = append(out, byte(b.kind), b.flags, 0, 0)
@@ -82,7 +81,23 @@
 	out = binary.LittleEndian.AppendUint64(out, b.first)
 	out = binary.LittleEndian.AppendUint64(out, uint64(b.at))
 	out = binary.LittleEndian.AppendUint32(out, b.sum)
-	return binary.LittleEndian.AppendUint32(out, crc32.Checksum(out[at:], castagnoli))
+	out = binary.LittleEndian.AppendUint32(out, crc32.Checksum(out[at:], castagnoli))
+	return append(out, b.payload...)
+}
+
+// plainBlock is one that holds a message as it is.
+func plainBlock(kind blockKind, at choice.Micros, m proto.Message) (block, error) {
+	text, err := proto.Marshal(m)
+	return block{kind: kind, raw: uint32(len(text)), at: at, payload: text}, err
+}
+
+// trailer reads the offset of the index block where a trailer stands there.
+func trailer(r io.ReaderAt, at int64) (index int64, ok bool) {
+	var trail [trailSize]byte
+	if n, _ := r.ReadAt(trail[:], at); n < trailSize || string(trail[8:]) != endMarker {
+		return 0, false
+	}
+	return int64(binary.LittleEndian.Uint64(trail[:])), true
 }
 
 var errDamaged = errors.New("damaged")
--- a/internal/capture/writer.go
+++ b/internal/capture/writer.go
@@ -15,7 +15,6 @@
 
 	"github.com/google/renameio/v2"
 	"github.com/klauspost/compress/zstd"
-	"google.golang.org/protobuf/proto"
 
 	pb "archknot/internal/capture/capturepb"
 )
@@ -239,19 +238,18 @@
 	}
 	w.file, w.offset, w.records, w.skip = file, 0, 0, false
 	w.index.Reset()
-	text, err := proto.Marshal(h)
+	b, err := plainBlock(blockHeader, h.ClockUs, h)
 	if err != nil {
 		w.fail(err)
 		return
 	}
-	w.put(block{kind: blockHeader, raw: uint32(len(text)), at: h.ClockUs, payload: text})
+	w.put(b)
 	w.Stats.Segments.Add(1)
 }
 
 // put writes one block and tells whether that went well.
 func (w *Writer) put(b block) bool {
-	b.seal()
-	w.out = append(b.appendHead(w.out[:0]), b.payload...)
+	w.out = b.appendTo(w.out[:0])
 	if _, err := w.file.Write(w.out); err != nil {
 		w.fail(err)
 		return false
@@ -293,12 +291,11 @@
 	}
 	at := w.offset
 	w.index.Records = w.records
-	text, err := proto.Marshal(&w.index)
+	b, err := plainBlock(blockIndex, w.index.LastUs, &w.index)
 	if err != nil {
 		w.fail(err)
 		return
 	}
-	b := block{kind: blockIndex, raw: uint32(len(text)), at: w.index.LastUs, payload: text}
 	if !w.put(b) {
 		return
 	}
--- a/internal/conf/contract.go
+++ b/internal/conf/contract.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -210,10 +211,10 @@
 	if t.Hard {
 		b.WriteString("hard on\n")
 	}
-	for _, class := range sorted(t.Prices) {
+	for _, class := range slices.Sorted(maps.Keys(t.Prices)) {
 		fmt.Fprintf(&b, "price %s %s %s\n", quote([]string{class}), number(t.Prices[class].Read), number(t.Prices[class].Made))
 	}
-	for _, class := range sorted(t.Floors) {
+	for _, class := range slices.Sorted(maps.Keys(t.Floors)) {
 		fmt.Fprintf(&b, "floor %s %s\n", quote([]string{class}), number(t.Floors[class]/token))
 	}
 	for _, g := range t.Budgets {
@@ -229,12 +230,3 @@
 	}
 	return b.String()
 }
-
-func sorted[V any](m map[string]V) []string {
-	var keys []string
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -89,6 +89,7 @@
 // that a charge takes no memory of its own.
 type Charge struct {
 	acct    *account // nil: nothing was charged, or it is settled
+	Thought Use      // what it was made for
 	class   string
 	price   Price // it was made under
 	units   Units
@@ -412,7 +413,7 @@
 	for p := range a.used {
 		a.used[p] += cost
 	}
-	*c = Charge{acct: a, class: class, price: price, units: cost, beyond: beyond, periods: a.begun}
+	*c = Charge{Thought: u, acct: a, class: class, price: price, units: cost, beyond: beyond, periods: a.begun}
 	a.open++
 	b.notice(a)
 	return v
--- a/internal/gateway/contracts.go
+++ b/internal/gateway/contracts.go
@@ -58,14 +58,18 @@
 // leastFactor stands for a worth of nothing, for 0 says that there is no contract.
 const leastFactor = 1e-6
 
+// chargeFor charges a request, or a copy of it, what it is thought to use.
+func (l *loop) chargeFor(r *memory.Request, c *contract.Charge) contract.Verdict {
+	return l.book.Take(l.now, r.In.Tenant, r.In.Class, l.book.Estimate(r.In.Class, r.In.PromptTokens, r.In.MaxTokens), c)
+}
+
 // admitted has the team's contract judge a request before the module does. One
 // that it refuses is answered at once, and the module never hears of it.
 func (l *loop) admitted(r *memory.Request) bool {
 	if l.book == nil {
 		return true
 	}
-	u := l.book.Estimate(r.In.Class, r.In.PromptTokens, r.In.MaxTokens)
-	v := l.book.Take(l.now, r.In.Tenant, r.In.Class, u, &r.Charge)
+	v := l.chargeFor(r, &r.Charge)
 	l.notices()
 	if v.Refuse {
 		r.Done = true
@@ -84,12 +88,11 @@
 		return true
 	}
 	r := d.Request
-	d.Thought = l.book.Estimate(r.In.Class, r.In.PromptTokens, r.In.MaxTokens)
 	if d.N == 0 {
 		d.Charge, r.Charge = r.Charge, contract.Charge{}
 		return true
 	}
-	if v := l.book.Take(l.now, r.In.Tenant, r.In.Class, d.Thought, &d.Charge); v.Refuse {
+	if v := l.chargeFor(r, &d.Charge); v.Refuse {
 		d.Cancel()
 		l.later = append(l.later, ended{d: d, status: choice.NotSent})
 		return false
@@ -103,7 +106,7 @@
 	if l.book == nil {
 		return
 	}
-	used := e.d.Thought
+	used := e.d.Charge.Thought
 	switch {
 	case e.status.NeverRan():
 		used = contract.Use{}
--- a/internal/memory/requests.go
+++ b/internal/memory/requests.go
@@ -55,7 +55,6 @@
 	Events  chan []byte // the stream as it comes; closed at its end
 	Whole   bool        // the stream came to its last chunk; set before Events closes
 	Charge  contract.Charge
-	Thought contract.Use // what it was charged for
 	ended   bool
 }
 
--- a/internal/replay/perturb.go
+++ b/internal/replay/perturb.go
@@ -224,19 +224,11 @@
 	switch rec.Kind {
 	case pb.Kind_KIND_CHECKPOINT:
 		w.now = e.At
-		settings := run.Settings
-		if text := rec.Checkpoint.Settings; text != nil {
-			var err error
-			if settings, err = capture.GetSettings(text); err != nil {
-				return err
-			}
-		}
-		w.most = max(w.most, settings.MaxAttempts)
-		b, err := choice.Restore(settings, rec.Checkpoint.State, w)
+		b, settings, err := run.Restore(rec.Checkpoint, w)
 		if err != nil {
 			return err
 		}
-		w.b = b
+		w.b, w.most = b, max(w.most, settings.MaxAttempts)
 		for _, m := range b.Workers() {
 			w.workers[m.Replica] = m.State
 		}
@@ -416,11 +408,7 @@
 		w.late[o.Worker] = kept
 		r = kept[w.rng.IntN(len(kept))]
 	}
-	if r == nil {
-		return choice.Report{}
-	}
-	return choice.Report{Has: uint8(r.Has), MemoryShare: r.MemoryShare, UnreadK: r.UnreadK, InFlight: r.InFlight, Queued: r.Queued,
-		ServiceMs: r.ServiceMs, Util: r.Util}
+	return capture.GetReport(r)
 }
 
 // begin is a stream's first token; the first of a request is the client's.
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -213,14 +213,7 @@
 			p.settle(nil, false)
 		}
 	}
-	settings := p.run.Settings
-	if c.Settings != nil {
-		var err error
-		if settings, err = capture.GetSettings(c.Settings); err != nil {
-			return err
-		}
-	}
-	b, err := choice.Restore(settings, c.State, p)
+	b, _, err := p.run.Restore(c, p)
 	if err != nil {
 		return err
 	}
--- a/internal/revision/config.go
+++ b/internal/revision/config.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -363,7 +364,7 @@
 		for _, k := range p.Settings.Classes {
 			now[k.Name] = k.Deadline
 		}
-		for _, name := range sortedKeys(p.InHand) {
+		for _, name := range slices.Sorted(maps.Keys(p.InHand)) {
 			in := p.InHand[name]
 			k, ok := next[name]
 			switch {
@@ -380,7 +381,7 @@
 		for _, t := range c.Tenants {
 			next[t.Name] = true
 		}
-		for _, name := range sortedKeys(p.Tenants) {
+		for _, name := range slices.Sorted(maps.Keys(p.Tenants)) {
 			if n := p.Tenants[name]; n > 0 && !next[name] {
 				r.add(TypeTenant, name, "", "taken out with %d requests in hand", n)
 			}
@@ -435,15 +436,6 @@
 	return n
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // Overlay is the module's settings with a version's parts in place of the files'.
 func (c *Config) Overlay(base choice.Settings) choice.Settings {
 	s := base
--- a/internal/revision/machine.go
+++ b/internal/revision/machine.go
@@ -131,8 +131,6 @@
 	never       []Number
 	known       map[Number]bool // of never
 	usual, seen tally
-	// lastGood is what Keep was last told.
-	lastGood Number
 }
 
 // candidate is a whole version that came over the stream.
@@ -162,9 +160,6 @@
 	for _, n := range never {
 		m.forbid(n)
 	}
-	if force != nil {
-		m.lastGood = force.Number
-	}
 	return m
 }
 
@@ -512,7 +507,6 @@
 // proved makes the version in force the last good one.
 func (m *Machine) proved() {
 	m.proving = false
-	m.lastGood = m.number()
 	m.host.Keep(m.force, m.never)
 }
 
@@ -597,7 +591,6 @@
 	m.tell(bad.Number, GivenBack, c.why)
 	clear(m.acked)
 	m.host.Keep(m.force, m.never)
-	m.lastGood = m.number()
 	if !m.connected {
 		return
 	}
