--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -15,13 +15,15 @@
 	"archknot/choice"
 	"archknot/internal/build"
 	"archknot/internal/capture"
+	"archknot/internal/contract"
 	"archknot/internal/wire"
 )
 
 func main() {
 	dir := flag.String("capture", "", "record each instance in a folder below this one")
+	books := flag.Bool("contracts", false, "have the deployment's shares kept by contracts in place of the module's own quotas")
 	flag.Parse()
-	if err := run(os.Stdin, os.Stdout, *dir); err != nil {
+	if err := run(os.Stdin, os.Stdout, *dir, *books); err != nil {
 		fmt.Fprintln(os.Stderr, "adapter:", err)
 		os.Exit(1)
 	}
@@ -31,6 +33,7 @@
 type host struct {
 	enc     *wire.Encoder
 	capture string // folder of captures; "": none
+	books   bool   // shares are kept by contracts
 	nodes   map[int]*node
 	born    int
 }
@@ -41,12 +44,13 @@
 	recorder *capture.Recorder
 	writer   *capture.Writer
 	timers   *timers
+	book     *contract.Book // nil: the module's own quotas
 }
 
 // run serves batches until the input ends. An error names the line.
-func run(in io.Reader, out io.Writer, dir string) (err error) {
+func run(in io.Reader, out io.Writer, dir string, books bool) (err error) {
 	dec := wire.NewDecoder(in)
-	h := &host{enc: wire.NewEncoder(out), capture: dir, nodes: map[int]*node{}}
+	h := &host{enc: wire.NewEncoder(out), capture: dir, books: books, nodes: map[int]*node{}}
 	defer func() {
 		for _, n := range h.nodes {
 			n.close()
@@ -79,6 +83,11 @@
 		return nil, err
 	}
 	n.Module = b
+	if h.books {
+		if n.book, err = shares(ev); err != nil {
+			return nil, err
+		}
+	}
 	if h.capture == "" {
 		return n, nil
 	}
@@ -89,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.recorder = capture.Record(ev.Now, b, sink, n.writer, capture.Host{Timers: n.timers.pending},
+	n.recorder = capture.Record(ev.Now, b, nil, sink, n.writer, capture.Host{Timers: n.timers.pending},
 		capture.Options{Checkpoint: 5 * time.Second, Block: 64 << 10, Flush: time.Minute, SegmentSize: 64 << 20, SegmentAge: time.Hour})
 	n.Module = n.recorder
 	return n, nil
@@ -129,6 +138,7 @@
 	case wire.List:
 		n.ListChanged(ev.Now, ev.List)
 	case wire.Arrived:
+		n.agreed(ev)
 		n.RequestArrived(ev.Now, ev.Request)
 	case wire.Timer:
 		if n.timers != nil {
@@ -149,6 +159,31 @@
 	return nil
 }
 
+// shares are the deployment's quotas as contracts: a request counts as one, and a
+// second's worth may be saved up. Each instance holds an equal part.
+func shares(ev *wire.Event) (*contract.Book, error) {
+	s := &ev.Settings
+	var terms []contract.Terms
+	for _, t := range s.Tenants {
+		if t.QuotaPerS > 0 {
+			rate := t.QuotaPerS * float64(contract.Token) / float64(max(1, s.Gateways))
+			terms = append(terms, contract.Terms{Team: t.Name, Tenants: []string{t.Name}, Rate: rate, Burst: contract.Units(max(1, rate)), Over: s.OverShareWorth})
+		}
+	}
+	return contract.New(contract.Settings{Pool: 1, Unknown: 1}, terms, ev.Now, 0)
+}
+
+// agreed has the contract tell the worth that a request competes with.
+func (n *node) agreed(ev *wire.Event) {
+	if n.book == nil {
+		return
+	}
+	var c contract.Charge
+	v := n.book.Take(ev.Now, ev.Request.Tenant, ev.Request.Class, contract.Use{Made: 1}, &c)
+	n.book.Settle(ev.Now, &c, contract.Use{Made: 1}, false)
+	ev.Request.Factor = max(1e-6, v.Worth)
+}
+
 func (n *node) now(now choice.Micros) {
 	if n.timers != nil {
 		n.timers.now = now
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -51,7 +51,7 @@
 func actions(t *testing.T, in string) map[string]string {
 	t.Helper()
 	var out bytes.Buffer
-	if err := run(strings.NewReader(in), &out, ""); err != nil {
+	if err := run(strings.NewReader(in), &out, "", false); err != nil {
 		t.Fatal(err)
 	}
 	got, who := map[string]*strings.Builder{}, ""
@@ -111,7 +111,7 @@
 		"TURN\t1\nON\t0\nTIMER\tx\n":                      "line 3: TIMER: field 1 (ref)",
 		"TURN\t1\nON\t0\nBORN\t1\t{\"nInstances\":\"x\"}": "cut off",
 	} {
-		err := run(strings.NewReader(in), &bytes.Buffer{}, "")
+		err := run(strings.NewReader(in), &bytes.Buffer{}, "", false)
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("got %v, want %q", err, want)
 		}
@@ -123,10 +123,10 @@
 	in := []byte(script(0, 1, 2))
 	dir := t.TempDir()
 	var plain, recorded bytes.Buffer
-	if err := run(bytes.NewReader(in), &plain, ""); err != nil {
+	if err := run(bytes.NewReader(in), &plain, "", false); err != nil {
 		t.Fatal(err)
 	}
-	if err := run(bytes.NewReader(in), &recorded, dir); err != nil {
+	if err := run(bytes.NewReader(in), &recorded, dir, false); err != nil {
 		t.Fatal(err)
 	}
 	if !bytes.Equal(plain.Bytes(), recorded.Bytes()) {
--- a/internal/capture/convert.go
+++ b/internal/capture/convert.go
@@ -84,7 +84,8 @@
 
 const maxText = 256
 
-// Apply tells the module what a record says; a checkpoint or a gap tells nothing.
+// Apply tells the module what a record says; a checkpoint, a gap
+// and what is the contracts' book's tell nothing.
 func Apply(m Module, now choice.Micros, r *pb.Record) error {
 	id := choice.RequestID(r.Request)
 	switch r.Kind {
@@ -112,7 +113,9 @@
 			return err
 		}
 		_ = m.Reconfigure(now, s) // refused then as now: that changed nothing
-	case pb.Kind_KIND_CHECKPOINT, pb.Kind_KIND_GAP:
+	case pb.Kind_KIND_CHECKPOINT, pb.Kind_KIND_GAP, pb.Kind_KIND_AGREED, pb.Kind_KIND_CHARGED, pb.Kind_KIND_SETTLED, pb.Kind_KIND_PARTS, pb.Kind_KIND_KEPT,
+		pb.Kind_KIND_TURNED:
+		// the contracts' part is no word to the module
 	default:
 		return fmt.Errorf("a record of kind %d, which this build does not know", r.Kind)
 	}
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -14,6 +14,7 @@
 
 	"archknot/choice"
 	pb "archknot/internal/capture/capturepb"
+	"archknot/internal/contract"
 	"archknot/internal/incident"
 )
 
@@ -44,6 +45,7 @@
 	Timers      func() []Timer
 	WorkerName  func(choice.ReplicaID) string // "" if it has none
 	RequestName func(choice.RequestID) string
+	Charges     func() []contract.Open // that are not settled
 }
 
 // Options of a recording.
@@ -88,7 +90,13 @@
 	report    pb.Report
 	actions   []*pb.Action // those of rec are the first of these
 	recording bool         // a call is being recorded
-	marshal   proto.MarshalOptions
+	within    bool         // a call is going on, recorded or not
+	nested    []*pb.Record // of the book, within the module's call
+
+	book     *contract.Book // nil: no contracts
+	agreed   []byte         // the contracts in force, for checkpoints
+	settling contract.Open  // the charge that is being settled
+	marshal  proto.MarshalOptions
 }
 
 type gap struct {
@@ -105,8 +113,9 @@
 // Record puts a recorder before a module whose orders go to a sink; the owner
 // calls the recorder from here on in place of the module. The first thing in the
 // capture is a checkpoint.
-func Record(now choice.Micros, b *choice.Balancer, out choice.Sink, to *Writer, host Host, o Options) *Recorder {
+func Record(now choice.Micros, b *choice.Balancer, book *contract.Book, out choice.Sink, to *Writer, host Host, o Options) *Recorder {
 	r := &Recorder{b: b, out: out, to: to, host: host, o: o, now: now, segmentAt: now}
+	r.setBook(book)
 	if host.WorkerName == nil {
 		r.host.WorkerName = func(choice.ReplicaID) string { return "" }
 	}
@@ -145,6 +154,7 @@
 func (r *Recorder) begin(now choice.Micros, kind pb.Kind) bool {
 	r.now = now
 	r.seq++
+	r.within = true
 	if why := r.to.broken(); why != "" && r.gap == nil {
 		r.lose(why)
 	}
@@ -176,20 +186,33 @@
 	r.rec.Request, r.rec.Token, r.rec.Peer = 0, 0, 0
 	r.rec.Arrival, r.rec.Outcome, r.rec.List, r.rec.Body, r.rec.Settings = nil, nil, nil, nil, nil
 	r.rec.Checkpoint, r.rec.Gap = nil, nil
+	r.rec.Agreed, r.rec.Charged, r.rec.Settled, r.rec.Parts, r.rec.Kept, r.rec.Turned = nil, nil, nil, nil, nil, nil
 	r.rec.Actions = r.actions[:0]
 }
 
-// commit puts the record into the block.
+// end puts the record of a call into the block, if it is recorded.
+func (r *Recorder) end(rec bool) {
+	if r.within = false; rec {
+		r.commit()
+	}
+}
+
+// commit puts the record into the block, and those of what happened within its
+// call after it.
 func (r *Recorder) commit() {
 	r.recording = false
-	if r.append(); r.gap != nil {
-		return
-	}
-	if r.events == 0 {
-		r.first = r.seq
+	r.put(&r.rec)
+	for i, n := range r.nested {
+		r.seq++
+		if r.gap != nil {
+			r.gap.events++
+		} else {
+			r.put(n)
+		}
+		r.nested[i] = nil
 	}
-	if r.events++; len(r.buf) >= r.o.Block {
-		r.flush()
+	if r.nested = r.nested[:0]; r.gap != nil {
+		return
 	}
 	if len(r.rec.Actions) > maxKeptActions {
 		r.actions = nil
@@ -208,19 +231,32 @@
 // maxKeptActions is how many actions of one call are kept for reuse.
 const maxKeptActions = 4096
 
-func (r *Recorder) append() {
+// put adds one record to the block and hands a full one over.
+func (r *Recorder) put(rec *pb.Record) {
+	if r.append(rec); r.gap != nil {
+		return
+	}
+	if r.events == 0 {
+		r.first = r.seq
+	}
+	if r.events++; len(r.buf) >= r.o.Block {
+		r.flush()
+	}
+}
+
+func (r *Recorder) append(rec *pb.Record) {
 	if len(r.buf) == 0 {
 		if r.buf == nil {
 			r.buf = r.to.buffer(r.o.Block)
 		}
 		r.startedAt, r.lastAt = r.now, r.now
 	}
-	r.rec.AfterUs = r.now - r.lastAt
+	rec.AfterUs = r.now - r.lastAt
 	r.lastAt = r.now
 	at := len(r.buf)
 	r.buf = append(r.buf, 0, 0, 0, 0)
 	var err error
-	if r.buf, err = r.marshal.MarshalAppend(r.buf, &r.rec); err != nil {
+	if r.buf, err = r.marshal.MarshalAppend(r.buf, rec); err != nil {
 		r.buf = r.buf[:at]
 		r.lose("a record cannot be put into form: " + err.Error())
 		return
@@ -289,7 +325,7 @@
 	if after != nil {
 		r.fresh(pb.Kind_KIND_GAP)
 		r.rec.Gap = &pb.Gap{Events: after.events, Actions: after.actions, FromUs: after.from, Reason: after.reason}
-		r.append()
+		r.append(&r.rec)
 	}
 	c := &pb.Checkpoint{State: r.b.Snapshot()}
 	if r.changed {
@@ -314,9 +350,10 @@
 			c.Requests = append(c.Requests, &pb.Name{Id: uint32(id), Name: name})
 		}
 	}
+	r.putBook(c)
 	r.fresh(pb.Kind_KIND_CHECKPOINT)
 	r.rec.Checkpoint = c
-	r.append()
+	r.append(&r.rec)
 	r.rec.Checkpoint = nil // its state need not be held till the next record
 	r.marked = r.now
 	// Handed over with the records that follow it, or by itself.
@@ -331,9 +368,8 @@
 
 func (r *Recorder) Start(now choice.Micros) {
 	rec := r.begin(now, pb.Kind_KIND_START)
-	if r.b.Start(now); rec {
-		r.commit()
-	}
+	r.b.Start(now)
+	r.end(rec)
 }
 
 func (r *Recorder) ListChanged(now choice.Micros, l choice.ServerList) {
@@ -344,9 +380,8 @@
 	if r.watch != nil {
 		r.watch.Listed(now, l)
 	}
-	if r.b.ListChanged(now, l); rec {
-		r.commit()
-	}
+	r.b.ListChanged(now, l)
+	r.end(rec)
 }
 
 func (r *Recorder) RequestArrived(now choice.Micros, in choice.Request) {
@@ -358,9 +393,8 @@
 	if r.watch != nil {
 		r.watch.Arrived(now, in)
 	}
-	if r.b.RequestArrived(now, in); rec {
-		r.commit()
-	}
+	r.b.RequestArrived(now, in)
+	r.end(rec)
 }
 
 func (r *Recorder) FirstToken(now choice.Micros, o choice.Outcome) {
@@ -371,9 +405,8 @@
 	if r.watch != nil {
 		r.note(r.watch.First(now, o))
 	}
-	if r.b.FirstToken(now, o); rec {
-		r.commit()
-	}
+	r.b.FirstToken(now, o)
+	r.end(rec)
 }
 
 func (r *Recorder) AttemptEnded(now choice.Micros, o choice.Outcome) {
@@ -384,9 +417,8 @@
 	if r.watch != nil {
 		r.note(r.watch.Ended(now, o))
 	}
-	if r.b.AttemptEnded(now, o); rec {
-		r.commit()
-	}
+	r.b.AttemptEnded(now, o)
+	r.end(rec)
 }
 
 func (r *Recorder) ClientGone(now choice.Micros, id choice.RequestID) {
@@ -397,9 +429,8 @@
 	if r.watch != nil {
 		r.note(r.watch.Left(now, id))
 	}
-	if r.b.ClientGone(now, id); rec {
-		r.commit()
-	}
+	r.b.ClientGone(now, id)
+	r.end(rec)
 }
 
 func (r *Recorder) TimerFired(now choice.Micros, token uint64) {
@@ -409,9 +440,8 @@
 	if rec {
 		r.rec.Token = token
 	}
-	if r.b.TimerFired(now, token); rec {
-		r.commit()
-	}
+	r.b.TimerFired(now, token)
+	r.end(rec)
 }
 
 func (r *Recorder) ProbeEnded(now choice.Micros, o choice.Outcome) {
@@ -419,9 +449,8 @@
 	if rec {
 		r.rec.Outcome = putOutcome(&r.outcome, &r.report, &o)
 	}
-	if r.b.ProbeEnded(now, o); rec {
-		r.commit()
-	}
+	r.b.ProbeEnded(now, o)
+	r.end(rec)
 }
 
 func (r *Recorder) PeerMessage(now choice.Micros, from int, body []byte) {
@@ -429,9 +458,8 @@
 	if rec {
 		r.rec.Peer, r.rec.Body = uint32(from), body
 	}
-	if r.b.PeerMessage(now, from, body); rec {
-		r.commit()
-	}
+	r.b.PeerMessage(now, from, body)
+	r.end(rec)
 }
 
 func (r *Recorder) Reconfigure(now choice.Micros, s choice.Settings) error {
@@ -446,9 +474,7 @@
 			r.watch.Reconfigured(s)
 		}
 	}
-	if rec {
-		r.commit()
-	}
+	r.end(rec)
 	return err
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := capture.Record(1000, b, nowhere{}, w, capture.Host{RequestName: func(id choice.RequestID) string { return "req" + string(rune('a'+id%26)) }},
+	r := capture.Record(1000, b, nil, nowhere{}, w, capture.Host{RequestName: func(id choice.RequestID) string { return "req" + string(rune('a'+id%26)) }},
 		capture.Options{Checkpoint: 10 * time.Second, Block: 4096, Flush: time.Second, SegmentSize: 1 << 20, SegmentAge: time.Hour})
 	r.Start(1000)
 	r.ListChanged(1000, choice.ServerList{Kind: choice.ListFull, Members: []choice.Member{{Replica: 1, Zone: "a"}, {Replica: 2, Zone: "a"}}})
@@ -65,6 +65,8 @@
 	os.WriteFile(good, []byte("[log]\nlevel warn\n"), 0o600)
 	os.WriteFile(bad, []byte("[log]\nlevle warn\n"), 0o600)
 	cut := filepath.Join(t.TempDir(), "cut.akcap")
+	teams, page := filepath.Join(t.TempDir(), "teams.conf"), filepath.Join(t.TempDir(), "page.html")
+	os.WriteFile(teams, []byte("[contract all]\ntenants \"\"\nrate 100\nburst 5000\nbudget hour 0 30000\nborrow none\n[contract x]\ntenants x\nrate 5\nuntil 2027-07-01T00:00:00Z\nsuccessor all\n"), 0o600)
 	for _, c := range []struct {
 		args string
 		code int
@@ -107,6 +109,19 @@
 		{"replay --perturb all " + dir, Good, "faults=0"},
 		{"replay --perturb odd " + dir, Wrong, "no perturbation"},
 		{"replay nowhere", Wrong, "no such file"},
+		{"config check " + teams, Good, "good"},
+		{"contracts list " + teams, Good, "hour 0/30,000"},
+		{"contracts list --json " + teams, Good, `"Team": "all"`},
+		{"contracts list", Wrong, "no socket"},
+		{"contracts show x " + teams, Good, "successor all"},
+		{"contracts show nobody " + teams, No, "no contract"},
+		{"contracts show x --socket /nowhere/x", Wrong, "no gateway answers"},
+		{"contracts simulate " + dir + " --config " + teams, Good, "budget_spent"},
+		{"contracts simulate --json " + dir + " --config " + teams, Good, `"requests": 100`},
+		{"contracts simulate " + dir + " --config " + good, Wrong, "no contracts in it"},
+		{"contracts simulate " + dir, Wrong, "--config"},
+		{"contracts report " + dir + " --config " + teams + " --out " + page, Good, page},
+		{"contracts report " + dir + " --config " + teams + " --out /nowhere/x/y", Wrong, "nowhere"},
 	} {
 		code, out, errOut := run(strings.Fields(c.args)...)
 		if c.args[:4] == "capt" && strings.Contains(c.args, "info") {
@@ -121,7 +136,7 @@
 // Every command has an example in its help.
 func TestHelpHasExamples(t *testing.T) {
 	for _, c := range []string{"serve", "config check", "config show", "config diff", "config status", "config history", "config rollback", "capture info", "capture verify", "capture dump", "capture cut",
-		"capture explain", "capture save", "replay", "version"} {
+		"capture explain", "capture save", "replay", "version", "contracts list", "contracts show", "contracts simulate", "contracts report"} {
 		if code, out, _ := run(append(strings.Fields(c), "--help")...); code != Good || !strings.Contains(out, "Example") {
 			t.Errorf("%s: %d\n%s", c, code, out)
 		}
--- /dev/null
+++ b/internal/cli/contracts.go
@@ -0,0 +1,277 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/dustin/go-humanize"
+	"github.com/google/renameio/v2"
+
+	"archknot/choice"
+	"archknot/internal/capture"
+	"archknot/internal/conf"
+	"archknot/internal/contract"
+	"archknot/internal/contract/report"
+	"archknot/internal/contract/trial"
+)
+
+type contractsCmd struct {
+	List     listContractsCmd `cmd:"" help:"List the contracts of a file of settings, or of a running gateway with its books."`
+	Show     showContractCmd  `cmd:"" help:"Show one team's contract, or its books at a running gateway."`
+	Simulate simulateCmd      `cmd:"" help:"Tell what contracts would have done to a capture."`
+	Report   reportCmd        `cmd:"" help:"Write the same as an HTML page with a chart and a table."`
+}
+
+// accounts are the books of a running gateway.
+func (f *socketFlags) accounts(s *streams) (list []contract.Account, err error) {
+	err = f.call(s, "contracts/accounts", struct{}{}, &list)
+	return list, err
+}
+
+type listContractsCmd struct {
+	socketFlags
+	File string `arg:"" optional:"" help:"A file of settings; without it, a running gateway is asked."`
+	JSON bool   `name:"json" help:"Print JSON."`
+}
+
+func (listContractsCmd) Help() string {
+	return "Examples:\n  archknot contracts list deploy/archknot.conf\n  archknot contracts list --socket /run/archknot.sock"
+}
+
+func tokens(u contract.Units) string { return humanize.Comma(u / contract.Token) }
+
+func (c *listContractsCmd) Run(s *streams) error {
+	if c.File == "" {
+		list, err := c.accounts(s)
+		if err != nil {
+			return err
+		}
+		if c.JSON {
+			return s.print(list)
+		}
+		return s.accounts(list)
+	}
+	got, err := conf.Load(c.File)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return s.print(got.Contracts.Teams)
+	}
+	w := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "team\trate/s\tburst\tworth\tover\thard\ttenants\tbudgets\tfrom\tuntil\t")
+	for _, t := range got.Contracts.Teams {
+		var budgets []string
+		for _, g := range t.Budgets {
+			budgets = append(budgets, fmt.Sprintf("%s %s/%s", g.Period, tokens(g.Soft), tokens(g.Hard)))
+		}
+		worth := t.Worth
+		if worth == 0 {
+			worth = 1
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%g\t%v\t%d\t%s\t%s\t%s\t\n", t.Team, tokens(contract.Units(t.Rate)), tokens(t.Burst), worth, t.Over, t.Hard,
+			len(t.Tenants), strings.Join(budgets, ", "), day(t.From), day(t.Until))
+	}
+	return w.Flush()
+}
+
+func day(unix choice.Micros) string {
+	if unix == 0 {
+		return "-"
+	}
+	return time.UnixMicro(unix).UTC().Format(time.DateOnly)
+}
+
+func (s *streams) accounts(list []contract.Account) error {
+	w := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "team\tvalid\tpart\tlevel\topen\ttaken\tover\trefused\tused\tborrowed\tbudgets\t")
+	for _, a := range list {
+		var budgets []string
+		for p, limit := range a.Limit {
+			if limit > 0 {
+				budgets = append(budgets, fmt.Sprintf("%s %.1f%%", contract.Period(p), 100*float64(a.Used[p])/float64(limit)))
+			}
+		}
+		fmt.Fprintf(w, "%s\t%v\t%.3f\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t\n", a.Team, a.Valid, a.Part, tokens(a.Level), a.Open, a.Count.Taken, a.Count.Over,
+			a.Count.Refused, tokens(a.Count.Used), tokens(a.Count.Borrowed), strings.Join(budgets, ", "))
+	}
+	return w.Flush()
+}
+
+type showContractCmd struct {
+	socketFlags
+	Team string `arg:"" help:"The team."`
+	File string `arg:"" optional:"" help:"A file of settings; without it, a running gateway is asked."`
+	JSON bool   `name:"json" help:"Print JSON."`
+}
+
+func (showContractCmd) Help() string {
+	return "Exit code 1: there is no contract of that name.\n\nExamples:\n  archknot contracts show advice deploy/archknot.conf\n" +
+		"  archknot contracts show advice --socket /run/archknot.sock"
+}
+
+func (c *showContractCmd) Run(s *streams) error {
+	none := func() error {
+		fmt.Fprintf(s.err, "archknot: no contract %q\n", c.Team)
+		return no
+	}
+	if c.File == "" {
+		list, err := c.accounts(s)
+		if err != nil {
+			return err
+		}
+		i := slices.IndexFunc(list, func(a contract.Account) bool { return a.Team == c.Team })
+		switch {
+		case i < 0:
+			return none()
+		case c.JSON:
+			return s.print(list[i])
+		}
+		return s.accounts(list[i : i+1])
+	}
+	got, err := conf.Load(c.File)
+	if err != nil {
+		return err
+	}
+	i := slices.IndexFunc(got.Contracts.Teams, func(t contract.Terms) bool { return t.Team == c.Team })
+	switch {
+	case i < 0:
+		return none()
+	case c.JSON:
+		return s.print(got.Contracts.Teams[i])
+	}
+	fmt.Fprint(s.out, strings.TrimPrefix(conf.ContractText(&got.Contracts.Teams[i]), "\n"))
+	return nil
+}
+
+// trialFlags are what a trial of contracts needs.
+type trialFlags struct {
+	span
+	Paths  []string `arg:"" help:"Segments of a capture, or folders of them."`
+	Config string   `required:"" env:"ARCHKNOT_CONF" placeholder:"FILE" help:"The settings with the contracts."`
+}
+
+func (f *trialFlags) run(s *streams, points int) ([]*trial.Result, error) {
+	got, err := conf.Load(f.Config)
+	if err != nil {
+		return nil, err
+	}
+	if len(got.Contracts.Teams) == 0 {
+		return nil, fmt.Errorf("%s: no contracts in it", f.Config)
+	}
+	runs, err := capture.Find(f.Paths...)
+	if err != nil {
+		return nil, err
+	}
+	var out []*trial.Result
+	for _, r := range runs {
+		from, to, err := f.of(r)
+		if err != nil {
+			return nil, err
+		}
+		o := trial.Options{Settings: got.Contracts.Settings(), Terms: got.Contracts.Teams, From: from, To: to, Points: points, Progress: progress(s, r)}
+		o.Settings.Reserve, o.Settings.Strict = 0, false // there is no store
+		res, err := trial.Run(r, o)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", r.Name, err)
+		}
+		out = append(out, res)
+	}
+	if len(out) == 0 {
+		return nil, errors.New("no capture")
+	}
+	return out, nil
+}
+
+type simulateCmd struct {
+	trialFlags
+	JSON bool `name:"json" help:"Print JSON."`
+}
+
+func (simulateCmd) Help() string {
+	return "Prices, rates and budgets are those of the settings; what the decision module did with the requests stays as recorded.\n" +
+		"Each recording begins with full bursts and unused budgets.\n\n" +
+		"Example:\n  archknot contracts simulate /var/lib/archknot/capture --config new.conf --from -10m"
+}
+
+func (c *simulateCmd) Run(s *streams) error {
+	list, err := c.run(s, 0)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return s.print(list)
+	}
+	for i, r := range list {
+		if i > 0 {
+			fmt.Fprintln(s.out)
+		}
+		fmt.Fprintf(s.out, "%s from %s to %s", r.Gateway, r.From.Format(time.RFC3339), r.To.Format(time.RFC3339))
+		if r.Gaps > 0 {
+			fmt.Fprintf(s.out, ", %d gaps", r.Gaps)
+		}
+		fmt.Fprintln(s.out)
+		w := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintln(w, "team\trequests\ttaken\tover\trefused\tserved though refused\tasked\tused\tof the rate\tborrowed\tcopies\tnot sent\t")
+		for _, t := range r.Teams {
+			name := t.Team
+			if name == "" {
+				name = "(no contract)"
+			}
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%d\t%s\t%s\t%.1f%%\t%s\t%d\t%d\t\n", name, t.Requests, t.Taken, t.Over, reasons(t.Refused), t.Missed,
+				humanize.Comma(int64(t.Asked)), humanize.Comma(int64(t.Used)), 100*t.RateShare, humanize.Comma(int64(t.Borrowed)), t.Copies, t.NotSent)
+		}
+		w.Flush()
+		for _, n := range r.Notices {
+			fmt.Fprintf(s.out, "%s %s: %d%% of the budget by %s\n", n.At.Format(time.RFC3339), n.Team, n.Percent, n.Period)
+		}
+	}
+	return nil
+}
+
+func reasons(m map[string]int64) string {
+	if len(m) == 0 {
+		return "0"
+	}
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, fmt.Sprintf("%d %s", m[k], k))
+	}
+	return strings.Join(out, ", ")
+}
+
+type reportCmd struct {
+	trialFlags
+	Out string `required:"" placeholder:"FILE" help:"Where the page goes."`
+}
+
+func (reportCmd) Help() string {
+	return "The page stands by itself: its charts are in it.\n\n" +
+		"Example:\n  archknot contracts report /var/lib/archknot/capture --config deploy/archknot.conf --out contracts.html"
+}
+
+func (c *reportCmd) Run(s *streams) error {
+	list, err := c.run(s, 0)
+	if err != nil {
+		return err
+	}
+	f, err := renameio.NewPendingFile(c.Out, renameio.WithPermissions(os.FileMode(0o644)))
+	if err != nil {
+		return err
+	}
+	defer f.Cleanup()
+	if err := report.Write(f, list); err != nil {
+		return err
+	}
+	if err := f.CloseAtomicallyReplace(); err != nil {
+		return err
+	}
+	fmt.Fprintln(s.out, c.Out)
+	return nil
+}
--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -205,7 +205,7 @@
 	if !ok || !term.IsTerminal(int(f.Fd())) || run.Bytes() < 4<<20 {
 		return func(choice.Micros) {}
 	}
-	bar := progressbar.NewOptions64(run.End()-run.Begin(), progressbar.OptionSetWriter(f), progressbar.OptionSetDescription("replay "+run.Gateway),
+	bar := progressbar.NewOptions64(run.End()-run.Begin(), progressbar.OptionSetWriter(f), progressbar.OptionSetDescription("reading "+run.Gateway),
 		progressbar.OptionSetPredictTime(true), progressbar.OptionClearOnFinish())
 	return func(at choice.Micros) { _ = bar.Set64(at - run.Begin()) }
 }
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -45,6 +45,14 @@
 floor agent 300
 budget hour 0 1000000
 budget quarter 5000 9000
+borrow 50
+successor next
+[contract next]
+tenants next
+rate 1
+borrow none
+from 2027-07-01T00:00:00+10:00
+[contract island-tax]
 until 2027-07-01T00:00:00+10:00
 `)
 	c, err := Load(p)
@@ -60,7 +68,8 @@
 	want.Contracts.Teams = []contract.Terms{{Team: "island-tax", Tenants: []string{"island-tax", "old name"}, Rate: 4e6, Burst: 8e6, Over: 0.05,
 		Prices: map[string]contract.Price{"agent": {Read: 1, Made: 2.5}, "chat": {Read: 1, Made: 1}}, Floors: map[string]float64{"agent": 3e5},
 		Budgets: []contract.Budget{{Period: contract.Hour, Hard: 1e9}, {Period: contract.Quarter, Soft: 5e6, Hard: 9e6}},
-		Until:   time.Date(2027, 6, 30, 14, 0, 0, 0, time.UTC).UnixMicro()}}
+		Until:   time.Date(2027, 6, 30, 14, 0, 0, 0, time.UTC).UnixMicro(), Borrow: 5e4, Successor: "next"},
+		{Team: "next", Tenants: []string{"next"}, Rate: 1e3, Over: 0.05, NoBorrow: true, From: time.Date(2027, 6, 30, 14, 0, 0, 0, time.UTC).UnixMicro()}}
 	if diff := cmp.Diff(want, c); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/conf/contract.go
+++ b/internal/conf/contract.go
@@ -17,10 +17,22 @@
 	Pool  time.Duration
 	Other float64 // the worth of tenants without one; below 0 they are refused
 	Teams []contract.Terms
+
+	Store    string // "": balances are not kept
+	Reserve  float64
+	Strict   bool
+	Split    string
+	Gateways int
 }
 
-// On tells whether there are any.
-func (c *Contracts) On() bool { return len(c.Teams) > 0 }
+// Settings are the book's.
+func (c *Contracts) Settings() contract.Settings {
+	s := contract.Settings{Zone: c.Location(), Pool: c.Pool.Seconds(), Unknown: c.Other}
+	if c.Store != "" {
+		s.Reserve, s.Strict = c.Reserve, c.Strict
+	}
+	return s
+}
 
 // Location is the zone's.
 func (c *Contracts) Location() *time.Location {
@@ -34,7 +46,7 @@
 // contractKeys are what may stand in a [contract TEAM] section. Those in repeats
 // may stand more than once.
 var (
-	contractKeys    = []string{"tenants", "classes", "rate", "burst", "worth", "over", "hard", "price", "floor", "budget", "from", "until"}
+	contractKeys    = []string{"tenants", "classes", "rate", "burst", "worth", "over", "hard", "price", "floor", "budget", "from", "until", "successor", "borrow"}
 	contractRepeats = []string{"price", "floor", "budget"}
 )
 
@@ -100,6 +112,27 @@
 		}
 		t.Hard = words[0] == "on"
 		return nil
+	case "successor":
+		if err := need(1, "a contract's name"); err != nil {
+			return err
+		}
+		t.Successor = words[0]
+		return nil
+	case "borrow":
+		if err := need(1, "any, none, or tokens a second"); err != nil {
+			return err
+		}
+		switch words[0] {
+		case "any", "none":
+			t.NoBorrow = words[0] == "none"
+			return nil
+		}
+		v, err := tokens(words[0])
+		if err == nil && v == 0 {
+			return fmt.Errorf("expected any, none, or tokens a second above 0")
+		}
+		t.Borrow = v * float64(contract.Token)
+		return err
 	case "price":
 		if err := need(3, "a class, the price of a token read and of one made"); err != nil {
 			return err
@@ -190,8 +223,8 @@
 	}
 }
 
-// contractText is a contract in the form of a file.
-func contractText(t *contract.Terms) string {
+// ContractText is a contract in the form of a file.
+func ContractText(t *contract.Terms) string {
 	var b strings.Builder
 	quote := func(words []string) string {
 		out := make([]string, len(words))
@@ -220,6 +253,15 @@
 	for _, g := range t.Budgets {
 		fmt.Fprintf(&b, "budget %s %d %d\n", g.Period, g.Soft/contract.Token, g.Hard/contract.Token)
 	}
+	switch {
+	case t.NoBorrow:
+		b.WriteString("borrow none\n")
+	case t.Borrow > 0:
+		fmt.Fprintf(&b, "borrow %s\n", number(t.Borrow/token))
+	}
+	if t.Successor != "" {
+		fmt.Fprintf(&b, "successor %s\n", quote([]string{t.Successor}))
+	}
 	for _, at := range []struct {
 		key string
 		us  int64
--- a/internal/conf/schema.go
+++ b/internal/conf/schema.go
@@ -27,6 +27,7 @@
 	Service  Service
 
 	Contracts Contracts
+	Metrics   Metrics
 }
 
 // Log is what is written to standard error.
@@ -62,6 +63,12 @@
 	Stall   time.Duration
 }
 
+// Metrics is where the gateway's figures can be read.
+type Metrics struct {
+	Listen string
+	Teams  int
+}
+
 // Incident is when the last minutes of a capture are kept by themselves.
 type Incident struct {
 	Directory    string
@@ -123,8 +130,17 @@
 		}},
 		{"contracts", "What holds for all contracts; each team's stands in a section [contract TEAM]: docs/operate/contracts.md.", []key{
 			zone("zone", &c.Contracts.Zone, "UTC", "of days and quarters, such as Australia/Hobart"),
-			duration("pool", &c.Contracts.Pool, "1s", 0, time.Minute, "how much of all rates together idle shares may save up for others"),
+			duration("pool", &c.Contracts.Pool, "1s", 0, time.Minute, "how much of all rates together idle shares may save up for others; so long after its owner is back what was lent may still be drawn"),
 			factor("others", &c.Contracts.Other, "0.05", -1, 1000, "the worth of tenants without a contract; -1 refuses them"),
+			path("store", &c.Contracts.Store, "", "where balances are kept over restarts and kills; not kept if not given"),
+			share("reserve", &c.Contracts.Reserve, "1%", "part of a budget that is written as used before it is: what a kill may cost a team"),
+			onOff("strict", &c.Contracts.Strict, "off", "refuse what the store does not yet know as used"),
+			choiceOf("split", &c.Contracts.Split, "whole", "how this gateway tells its part of each contract: it is alone, equal parts, as the front spreads all work, or as it sees each team", "whole", "equal", "front", "alone"),
+			count("gateways", &c.Contracts.Gateways, "1", 1, 10_000, "how many there are, for equal parts"),
+		}},
+		{"metrics", "The gateway's figures in the Prometheus form, over HTTP at /metrics.", []key{
+			path("listen", &c.Metrics.Listen, "", "host:port; none if not given"),
+			count("teams", &c.Metrics.Teams, "200", 1, 10_000, "teams with figures of their own; the others are summed up as one"),
 		}},
 		{"control-service", "The control service that numbered versions of the configuration come from: docs/operate/streamed-configuration.md.", []key{
 			path("address", &c.Service.Address, "", "host:port; none if not given, and then nothing is streamed"),
@@ -385,6 +401,11 @@
 	case c.Incident.Window > p.KeepAge:
 		at("incident.window", "expected at most capture.keep-age (%s): older files are gone", showDuration(p.KeepAge))
 	}
+	if l := c.Metrics.Listen; l != "" {
+		if _, port, err := net.SplitHostPort(l); err != nil || port == "" {
+			at("metrics.listen", "expected host:port, got %q", l)
+		}
+	}
 	if err := contract.Check(c.Contracts.Teams); err != nil {
 		r.problem(file, posNone, "", "%v", err)
 	}
@@ -474,7 +495,7 @@
 		}
 	}
 	for i := range c.Contracts.Teams {
-		b.WriteString(contractText(&c.Contracts.Teams[i]))
+		b.WriteString(ContractText(&c.Contracts.Teams[i]))
 	}
 	return b.String()
 }
--- a/internal/confstream/decode.go
+++ b/internal/confstream/decode.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"archknot/choice"
+	"archknot/internal/contract"
 	"archknot/internal/revision"
 	pb "archknot/internal/revision/configpb"
 )
@@ -53,7 +54,7 @@
 		fills = append(fills, fill)
 	}
 	switch t {
-	case revision.TypeClass, revision.TypeTenant, revision.TypeWorker:
+	case revision.TypeClass, revision.TypeTenant, revision.TypeWorker, revision.TypeContract:
 	default:
 		if len(resources) != 1 {
 			return nil, fmt.Errorf("expected one resource, got %d", len(resources))
@@ -67,6 +68,8 @@
 			c.HasTenants = true
 		case revision.TypeWorker:
 			c.HasWorkers = true
+		case revision.TypeContract:
+			c.HasContracts = true
 		}
 		for _, fill := range fills {
 			fill(c)
@@ -169,6 +172,14 @@
 		return func(c *revision.Config) {
 			c.Capture = &revision.Capture{Record: m.Record, Checkpoint: m.CheckpointUs, KeepBytes: m.KeepBytes, KeepAge: m.KeepAgeUs}
 		}, nil
+	case revision.TypeContract:
+		var m pb.Contract
+		if err := read(&m); err != nil {
+			return nil, err
+		}
+		t := contract.GetTerms(m.Terms)
+		t.Team = m.Name
+		return func(c *revision.Config) { c.Contracts = append(c.Contracts, t) }, nil
 	case revision.TypeLog:
 		var m pb.Log
 		if err := read(&m); err != nil {
--- a/internal/confstream/store.go
+++ b/internal/confstream/store.go
@@ -3,14 +3,11 @@
 import (
 	"encoding/binary"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"os"
-	"path/filepath"
 	"time"
 
 	"go.etcd.io/bbolt"
 
+	"archknot/internal/boltfile"
 	"archknot/internal/revision"
 )
 
@@ -40,58 +37,14 @@
 // OpenStore opens the store at a path, mode 0600. One that is damaged is set
 // aside, and aside is its new name: a new one takes its place.
 func OpenStore(path string) (s *Store, aside string, err error) {
-	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
-		return nil, "", err
-	}
-	s, err = openStore(path)
-	if err == nil || errors.Is(err, bbolt.ErrTimeout) {
-		return s, "", err
-	}
-	var perr *os.PathError
-	if errors.As(err, &perr) {
-		return nil, "", err
-	}
-	aside = fmt.Sprintf("%s.damaged-%s", path, time.Now().UTC().Format("20060102T150405.000"))
-	if rerr := os.Rename(path, aside); rerr != nil {
-		return nil, "", errors.Join(err, rerr)
-	}
-	s, err = openStore(path)
-	return s, aside, err
-}
-
-func openStore(path string) (s *Store, err error) {
-	var db *bbolt.DB
-	defer func() {
-		// Pages that point nowhere make the library panic.
-		if p := recover(); p != nil {
-			err = fmt.Errorf("damaged: %v", p)
-		}
-		if err != nil && db != nil {
-			db.Close()
-		}
-	}()
-	if db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: time.Second}); err != nil {
-		return nil, err
-	}
-	err = db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{stateBucket, historyBucket} {
-			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
-				return err
-			}
-		}
-		for err := range tx.Check() {
-			return fmt.Errorf("damaged: %w", err)
-		}
-		return nil
+	db, aside, err := boltfile.Open(path, [][]byte{stateBucket, historyBucket}, func(db *bbolt.DB) error {
+		_, _, err := (&Store{db}).Load()
+		return err
 	})
 	if err != nil {
-		return nil, err
-	}
-	s = &Store{db}
-	if _, _, err := s.Load(); err != nil {
-		return nil, fmt.Errorf("damaged: %w", err)
+		return nil, aside, err
 	}
-	return s, nil
+	return &Store{db}, aside, nil
 }
 
 // Close closes the store.
--- /dev/null
+++ b/internal/contract/ledger/ledger_test.go
@@ -0,0 +1,178 @@
+package ledger
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/contract"
+)
+
+const limit = 10_000_000 // tokens a day
+
+func terms() []contract.Terms {
+	return []contract.Terms{{Team: "a", Tenants: []string{"a"}, Rate: 1e12, Burst: 1e12, Over: 0.05,
+		Budgets: []contract.Budget{{Period: contract.Day, Hard: limit * contract.Token}}}}
+}
+
+// serveTeam charges without end, tells each charge once it is made, and keeps the
+// balances as a gateway does. It is killed.
+func serveTeam(path string) error {
+	s, _, err := Open(path)
+	if err != nil {
+		return err
+	}
+	stored, err := s.Load()
+	if err != nil {
+		return err
+	}
+	b, err := contract.New(contract.Settings{Pool: 1, Reserve: 0.001, Strict: true}, terms(), 0, time.Now().UnixMicro())
+	if err != nil {
+		return err
+	}
+	b.Resume(stored)
+	fmt.Printf("began %d\n", b.Accounts()[0].Used[contract.Day]/contract.Token)
+	type result struct {
+		number uint64
+		err    error
+	}
+	results := make(chan result, 1)
+	w := NewWriter(s, func(n uint64, err error) { results <- result{n, err} })
+	out, busy := bufio.NewWriter(os.Stdout), false
+	for i := 0; ; i++ {
+		var c contract.Charge
+		if v := b.Take(choice.Micros(i), "a", "", contract.Use{Made: 10}, &c); !v.Refuse {
+			fmt.Fprintln(out, "charged 10")
+		}
+		out.Flush()
+		select {
+		case r := <-results:
+			b.Kept(r.number, r.err == nil)
+			busy = false
+		default:
+		}
+		if b.Due() && !busy {
+			busy = w.Write(b.Checkpoint())
+		}
+	}
+}
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv("ARCHKNOT_TEST_LEDGER"); path != "" {
+		fmt.Fprintln(os.Stderr, serveTeam(path))
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+// A process that charges is killed at random points, again and again: no charge
+// that was told is ever missing, and each kill costs a reserve at most.
+func TestKilled(t *testing.T) {
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "balances.db")
+	rng := rand.New(rand.NewPCG(3, 3))
+	charged, began := 0, 0
+	const reserve = limit / 1000
+	for round := range 40 {
+		cmd := exec.Command(self)
+		cmd.Env = append(os.Environ(), "ARCHKNOT_TEST_LEDGER="+path)
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewScanner(out)
+		for stop := rng.IntN(3000); stop > 0 && lines.Scan(); stop-- {
+			if lines.Text() == "charged 10" {
+				charged += 10
+			} else if _, err := fmt.Sscanf(lines.Text(), "began %d", &began); err != nil {
+				t.Fatal(lines.Text())
+			} else if began < charged || began > charged+round*reserve {
+				t.Fatalf("round %d began at %d; %d was charged", round, began, charged)
+			}
+		}
+		cmd.Process.Kill()
+		for lines.Scan() { // told before it died
+			if lines.Text() == "charged 10" {
+				charged += 10
+			}
+		}
+		cmd.Wait()
+	}
+	if charged < 1000 {
+		t.Errorf("only %d charged", charged)
+	}
+	t.Logf("%d tokens charged over 40 kills; counted at the last start: %d", charged, began)
+}
+
+// A damaged store is set aside, and a new one serves; a failing disk is told.
+func TestDamage(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "balances.db")
+	s, _, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := []contract.Balance{{Team: "a", Used: [3]contract.Units{1, 2, 3}, Clean: true, Level: -4.5, Latest: 7}}
+	if err := s.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := s.Load(); err != nil || len(got) != 1 || got[0] != b[0] {
+		t.Errorf("%+v %v", got, err)
+	}
+	s.Close()
+	if err := s.Write(b); err == nil {
+		t.Error("a closed store took a balance")
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	aside := 0
+	for range 60 {
+		bad := append([]byte(nil), whole...)
+		for range 1 + rng.IntN(200) {
+			bad[rng.IntN(len(bad))] ^= byte(1 + rng.IntN(255))
+		}
+		if err := os.WriteFile(path, bad[:rng.IntN(len(bad))+1], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, where, err := Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if where != "" {
+			aside++
+			if _, err := os.Stat(where); err != nil {
+				t.Error(err)
+			}
+		}
+		if err := s.Write(b); err != nil {
+			t.Error(err)
+		}
+		s.Close()
+		os.Remove(path)
+	}
+	if aside == 0 {
+		t.Error("no damage was seen")
+	}
+	if _, _, err := Open(filepath.Join(t.TempDir(), "dir", "x")); err != nil {
+		t.Error(err)
+	}
+	var perr *os.PathError
+	if _, _, err := Open(t.TempDir()); !errors.As(err, &perr) && err == nil {
+		t.Error("a folder was taken for a store")
+	}
+}
--- /dev/null
+++ b/internal/contract/state_test.go
@@ -0,0 +1,362 @@
+package contract
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"archknot/choice"
+)
+
+// worked is a book that a random sequence has worked on, with its open charges.
+type worked struct {
+	b    *Book
+	open map[uint64]*Charge
+	next uint64
+	now  choice.Micros
+}
+
+func (w *worked) list() (out []Open) {
+	for key, c := range w.open {
+		out = append(out, Open{key, c})
+	}
+	return out
+}
+
+// step does one thing, told by draws: the same draws do the same.
+func (w *worked) step(what, n, made int) string {
+	tenants := []string{"a", "b", "old", "nobody"}
+	classes := []string{"agent", "bulk"}
+	switch what {
+	case 0, 1, 2:
+		w.next++
+		c := &Charge{}
+		class := classes[n/4%2]
+		v := w.b.Take(w.now, tenants[n%4], class, w.b.Estimate(class, made/2, made), c)
+		if c.Open() {
+			w.open[w.next] = c
+		}
+		return fmt.Sprint(v, c.Thought)
+	case 3:
+		for key := uint64(0); key <= w.next; key++ { // the oldest
+			if c := w.open[key]; c != nil {
+				delete(w.open, key)
+				return fmt.Sprint(w.b.Settle(w.now, c, Use{n, made}, n%3 > 0))
+			}
+		}
+	case 4:
+		w.now += choice.Micros(made) * 1000
+	case 5:
+		w.b.SetParts(w.now, []float64{float64(n%10) / 10, 0.5, 1, 1})
+	case 6:
+		number, list := w.b.Checkpoint()
+		w.b.Kept(number, n%4 > 0)
+		return fmt.Sprint(number, list)
+	case 8:
+		w.b.TurnedAway(w.now, tenants[n%4], "bulk", Use{n, made}, n%7 == 0)
+	case 7:
+		return fmt.Sprint(w.b.Agree(w.now, various(float64(1000+made))))
+	}
+	return ""
+}
+
+func various(rate float64) []Terms {
+	a, b, old, heir := team("a", rate), team("b", 500), team("old", 800), team("new", 900)
+	a.Floors = map[string]float64{"agent": 100 * float64(Token)}
+	a.Budgets = []Budget{{Hour, 20_000 * Token, 40_000 * Token}, {Day, 0, 900_000 * Token}}
+	b.Hard, b.Borrow = true, 50*float64(Token)
+	b.Prices = map[string]Price{"bulk": {0.5, 3}}
+	old.Until, old.Successor = start+30*sec, "new"
+	old.Budgets, heir.Budgets = []Budget{{Quarter, 0, 50_000 * Token}}, []Budget{{Quarter, 0, 60_000 * Token}}
+	heir.From, heir.Tenants = start+30*sec, []string{"heir"}
+	return []Terms{a, b, old, heir}
+}
+
+// A book goes on from its snapshot as it would have: the same verdicts, and in the
+// end the same bytes.
+func TestSnapshot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Settings{Pool: 1, Unknown: 0.05, Reserve: 0.02, Strict: rapid.Bool().Draw(t, "strict")}
+		b, err := New(s, various(1000), 0, start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := &worked{b: b, open: map[uint64]*Charge{}, now: sec}
+		draw := func(to ...*worked) {
+			for range rapid.IntRange(0, 60).Draw(t, "steps") {
+				what, n, made := rapid.IntRange(0, 8).Draw(t, "what"), rapid.IntRange(0, 99).Draw(t, "n"), rapid.IntRange(0, 4000).Draw(t, "made")
+				first := ""
+				for i, w := range to {
+					if got := w.step(what, n, made); i == 0 {
+						first = got
+					} else if got != first {
+						t.Fatalf("step %d: %s, the restored one %s", what, first, got)
+					}
+				}
+			}
+		}
+		draw(w)
+		text := w.b.Snapshot(w.list())
+		agreed, err := GetAgreed(PutAgreed(s, w.b.Terms(), 0, false, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, open, err := Restore(agreed, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := &worked{b: back, open: open, next: w.next, now: w.now}
+		if again := other.b.Snapshot(other.list()); !bytes.Equal(again, text) {
+			t.Fatal("the restored book has another state")
+		}
+		draw(w, other)
+		if !bytes.Equal(w.b.Snapshot(w.list()), other.b.Snapshot(other.list())) {
+			t.Fatal("the books have come apart")
+		}
+	})
+}
+
+// Whatever the moment of a kill: a strict book counts afterwards at least what was
+// charged, and at most a reserve more; also when kill follows kill, each costs no
+// more than a reserve, and none where nothing was charged in between.
+func TestKills(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 1_000_000
+		a := team("a", 1e6)
+		a.Budgets = []Budget{{Day, 0, limit * Token}}
+		s := Settings{Pool: 1, Reserve: 0.01, Strict: true}
+		reserve := Units(limit * Token / 100)
+		var stored []Balance
+		charged, lost := Units(0), Units(0) // in truth; and by kills
+		now := sec
+		for life := range rapid.IntRange(1, 12).Draw(t, "lives") {
+			b, err := New(s, []Terms{a}, now, start+now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.Resume(stored)
+			if used := b.Accounts()[0].Used[Day]; used < charged || used > charged+lost+reserve {
+				t.Fatalf("life %d: %d counts as used; %d was charged, and kills had cost %d", life, used, charged, lost)
+			} else {
+				lost = used - charged
+			}
+			var wait []Balance // on its way to the disk
+			number, on := uint64(0), false
+			for range rapid.IntRange(0, 80).Draw(t, "steps") {
+				now += 10_000
+				switch what := rapid.IntRange(0, 4).Draw(t, "what"); {
+				case what < 3:
+					var c Charge
+					n := rapid.IntRange(1, 3000).Draw(t, "made")
+					if v := b.Take(now, "a", "", Use{Made: n}, &c); !v.Refuse {
+						charged += Units(n) * Token
+					} else if v.Reason != NotKept && v.Reason != OverBudget {
+						t.Fatal(v)
+					}
+				case !on && b.Due():
+					number, wait = b.Checkpoint()
+					on = true
+				case on:
+					if rapid.IntRange(0, 5).Draw(t, "fails") == 0 {
+						b.Kept(number, false)
+					} else {
+						stored = wait
+						b.Kept(number, true)
+					}
+					on = false
+				}
+			}
+			if on && rapid.Bool().Draw(t, "written before the kill") {
+				stored = wait
+			}
+		}
+	})
+}
+
+// An orderly end keeps balances and levels exactly; a period that has ended since
+// begins anew; a clock that was set back does not begin one again.
+func TestResume(t *testing.T) {
+	a := team("a", 1000)
+	a.Budgets = []Budget{{Hour, 0, 10_000 * Token}}
+	b := book(t, a)
+	var c Charge
+	b.Take(sec, "a", "", Use{Made: 300}, &c)
+	b.Settle(sec, &c, Use{Made: 250}, true)
+	kept := b.Final()
+	for _, x := range []struct {
+		later choice.Micros
+		used  Units
+	}{{5 * sec, 250 * Token}, {3600 * sec, 0}, {-3600 * sec, 250 * Token}} {
+		n, err := New(Settings{Pool: 1}, []Terms{a}, 0, start+x.later)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n.Resume(kept) != 1 {
+			t.Error("not resumed")
+		}
+		if got := n.Accounts()[0]; got.Used[Hour] != x.used || got.Level != 750*Token {
+			t.Errorf("after %v s: %+v", x.later/sec, got)
+		}
+	}
+	kept[0].Clean = false
+	n := book(t, a)
+	n.Resume(kept)
+	if got := n.Accounts()[0].Level; got != 0 {
+		t.Errorf("after a kill the level is %d", got)
+	}
+}
+
+// A successor goes on with what was used of the period, and what the contract
+// before it charged is settled there.
+func TestSuccessor(t *testing.T) {
+	terms := various(1000)
+	b := book(t, terms...)
+	var c, d Charge
+	b.Take(20*sec, "old", "", Use{Made: 400}, &c)
+	if v := b.Take(31*sec, "old", "", Use{Made: 100}, &d); v.Refuse {
+		t.Fatal(v)
+	}
+	if name, _ := b.Team("old", ""); name != "new" {
+		t.Error(name)
+	}
+	b.Settle(32*sec, &c, Use{Made: 500}, true)
+	if used := b.Accounts()[3].Used[Quarter]; used != 600*Token {
+		t.Errorf("the successor has %d", used/Token)
+	}
+	for want, change := range map[string]func(*Terms){
+		"no other contract": func(o *Terms) { o.Successor = "x" }, "expected an end": func(o *Terms) { o.Until = 0 },
+		"begins after": func(o *Terms) { o.Until -= 5 },
+	} {
+		bad := various(1000)
+		change(&bad[2])
+		if err := Check(bad); err == nil || !bytes.Contains([]byte(err.Error()), []byte(want)) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
+
+// What may be borrowed is bounded where the contract says so.
+func TestBorrowing(t *testing.T) {
+	for _, x := range []struct {
+		none        bool
+		most        float64
+		least, high float64
+	}{{true, 0, 9_900, 10_200}, {false, 500, 14_000, 15_600}, {false, 0, 58_000, 61_500}} {
+		a, idle := team("a", 1000), team("idle", 5000)
+		a.NoBorrow, a.Borrow = x.none, x.most*float64(Token)
+		b := book(t, a, idle)
+		alone := &load{tenant: "a", perS: 20_000, each: 50}
+		play(b, sec, 5, alone)
+		alone.full = 0
+		play(b, 6*sec, 10, alone)
+		if got := float64(alone.full); got < x.least || got > x.high {
+			t.Errorf("none %v, most %v: %v tokens in ten seconds", x.none, x.most, got)
+		}
+	}
+}
+
+// Once the fleet turns away what is within contracts, what is beyond them waits; it
+// comes back to what there is room for, and a fleet with room for all bounds nothing.
+func TestGate(t *testing.T) {
+	for _, room := range []float64{10_200, 20_000, 60_000} {
+		b := book(t, team("a", 4000), team("b", 3000), team("c", 3000))
+		loads := []*load{{tenant: "a", perS: 40_000, each: 50}, {tenant: "b", perS: 3000, each: 50}, {tenant: "c", perS: 3000, each: 50}}
+		level := room / 5 // the fleet: a bucket that holds what a short queue does
+		within, lost, over := 0, 0, 0
+		for us := sec; us < 61*sec; us += 1000 {
+			level = min(room/5, level+room/1000)
+			if us == 31*sec {
+				within, lost, over = 0, 0, 0
+			}
+			for _, l := range loads {
+				for l.next += l.perS / 1000; l.next >= float64(l.each); l.next -= float64(l.each) {
+					var c Charge
+					v := b.Take(us, l.tenant, "", Use{Made: l.each}, &c)
+					if v.Refuse {
+						continue
+					}
+					if !v.Over {
+						within++
+					}
+					if level < float64(l.each) {
+						b.Settle(us, &c, Use{}, false)
+						b.TurnedAway(us, l.tenant, "", Use{Made: l.each}, v.Over)
+						if !v.Over {
+							lost++
+						}
+						continue
+					}
+					level -= float64(l.each)
+					if b.Settle(us, &c, Use{Made: l.each}, true); v.Over {
+						over += l.each
+					}
+				}
+			}
+		}
+		spare := min(room, 46_000) - 10_000
+		if got := float64(over) / 30; lost*200 > within || got < 0.7*spare || got > spare+50 {
+			t.Errorf("room %v: %d of %d within contracts were turned away; %.0f tokens a second beyond them, %.0f to spare", room, lost, within, got, spare)
+		} else {
+			t.Logf("room %v: %d of %d within contracts were turned away; %.0f tokens a second beyond them, %.0f to spare", room, lost, within, got, spare)
+		}
+	}
+}
+
+// A book's size is that of its contracts: a flood of tenants that it does not know
+// leaves nothing behind.
+func TestFloodOfUnknown(t *testing.T) {
+	var terms []Terms
+	for i := range 10_000 {
+		terms = append(terms, team(fmt.Sprint("team", i), 100))
+	}
+	b := book(t, terms...)
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	var c Charge
+	for i := range 300_000 {
+		v := b.Take(sec+choice.Micros(i)*10, fmt.Sprint("nobody", i), fmt.Sprint("class", i), Use{Made: 10}, &c)
+		if v.Worth != 0.05 || c.Open() {
+			t.Fatalf("%+v", v)
+		}
+		b.Settle(sec, &c, Use{Made: 10}, true)
+	}
+	if after := heap(); after > before+1<<20 {
+		t.Errorf("%d bytes more", after-before)
+	}
+	runtime.KeepAlive(b)
+}
+
+// Budgets count what stands for the whole where a gateway holds a part.
+func TestParts(t *testing.T) {
+	a := team("a", 1000)
+	a.Budgets = []Budget{{Hour, 0, 1_000_000 * Token}}
+	b := book(t, a)
+	b.SetParts(sec, []float64{0.25})
+	var c Charge
+	b.Take(2*sec, "a", "", Use{Made: 100}, &c)
+	b.SetParts(3*sec, []float64{0.5}) // what was charged stays what it stood for
+	b.Settle(3*sec, &c, Use{Made: 50}, true)
+	if got := b.Accounts()[0]; got.Used[Hour] != 200*Token || got.Count.Used != 50*Token {
+		t.Errorf("%+v", got)
+	}
+	l := &load{tenant: "a", perS: 5000, each: 10}
+	play(b, 4*sec, 3, l)
+	l.full = 0
+	if play(b, 7*sec, 10, l); l.full < 4900 || l.full > 5100 {
+		t.Errorf("%d tokens in ten seconds at half of 1000 a second", l.full)
+	}
+	for _, bad := range [][]float64{{}, {0.1, 0.2}, {-1}, {2}} {
+		b.SetParts(20*sec, bad)
+	}
+	if p := b.Accounts()[0].Part; p != 0.5 {
+		t.Error(p)
+	}
+}
--- /dev/null
+++ b/internal/contract/trial/trial_test.go
@@ -0,0 +1,132 @@
+package trial_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/capture"
+	"archknot/internal/contract"
+	"archknot/internal/contract/report"
+	"archknot/internal/contract/trial"
+)
+
+// nowhere takes the module's orders.
+type nowhere struct{ choice.Sink }
+
+func (nowhere) Dispatch(choice.RequestID, choice.ReplicaID, choice.Micros) {}
+func (nowhere) Refuse(choice.RequestID, choice.Micros)                     {}
+func (nowhere) Fail(choice.RequestID)                                      {}
+func (nowhere) Cancel(choice.RequestID, int)                               {}
+func (nowhere) SetTimer(choice.Micros, uint64)                             {}
+func (nowhere) Probe(choice.ReplicaID)                                     {}
+func (nowhere) TellPeers([]byte)                                           {}
+func (nowhere) WatchRegistry()                                             {}
+
+// recording is ten seconds in which a sends 20 requests a second and b 5, each of
+// 100 tokens read and 50 made; each fourth of a's is declined at first and sent again.
+func recording(t *testing.T) *capture.Run {
+	t.Helper()
+	dir := t.TempDir()
+	w, err := capture.NewWriter(capture.Limits{Directory: dir, Gateway: "g", Queue: 8, Wait: true, KeepSize: 1 << 30, KeepAge: time.Hour})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := choice.New(choice.Settings{Gateways: 1, Zone: "z", Zones: []string{"z"}, Kinds: []string{"k"}, MaxAttempts: 3, Tick: 2000,
+		Classes: []choice.Class{{Name: "chat", Aim: 1e6, TokenAim: 50_000, Deadline: 4e6, Worth: 1, Stream: true}}}, 1, nowhere{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := capture.Record(1000, b, nil, nowhere{}, w, capture.Host{}, capture.Options{Checkpoint: time.Minute, Block: 4 << 10, Flush: time.Second,
+		SegmentSize: 1 << 20, SegmentAge: time.Hour})
+	r.Start(1000)
+	r.ListChanged(1000, choice.ServerList{Kind: choice.ListFull, Version: 1, Members: []choice.Member{{Replica: 1, Zone: "z", Kind: "k", Weight: 1}, {Replica: 2, Zone: "z", Kind: "k", Weight: 1}}})
+	id := choice.RequestID(0)
+	for at := choice.Micros(2000); at < 10_002_000; at += 50_000 {
+		for _, tenant := range []string{"a", "b"} {
+			if tenant == "b" && at%200_000 != 2000 {
+				continue
+			}
+			id++
+			r.RequestArrived(at, choice.Request{ID: id, Class: "chat", Tenant: tenant, TimeLeft: 4e6, PromptTokens: 100, MaxTokens: 50})
+			n := 0
+			if tenant == "a" && id%4 == 0 {
+				r.AttemptEnded(at+1000, choice.Outcome{ID: id, Attempt: 0, Replica: 1, Status: choice.Shed, Elapsed: 1000})
+				n = 1
+			}
+			r.AttemptEnded(at+30_000, choice.Outcome{ID: id, Attempt: n, Replica: 2, Status: choice.Served, Elapsed: 20_000, Final: true, Tokens: 50})
+		}
+	}
+	r.Close()
+	w.Close()
+	runs, err := capture.Find(dir)
+	if err != nil || len(runs) != 1 {
+		t.Fatal(runs, err)
+	}
+	return runs[0]
+}
+
+func terms(name string, rate float64) contract.Terms {
+	return contract.Terms{Team: name, Tenants: []string{name}, Rate: rate * float64(contract.Token), Burst: contract.Units(rate) * contract.Token, Over: 0.05}
+}
+
+func TestTrial(t *testing.T) {
+	run := recording(t)
+	a, idle := terms("a", 1500), terms("idle", 10)
+	a.Budgets = []contract.Budget{{Period: contract.Hour, Hard: 24_000 * contract.Token}}
+	a.NoBorrow = true
+	res, err := trial.Run(run, trial.Options{Settings: contract.Settings{Pool: 1, Unknown: 0.5}, Terms: []contract.Terms{a, idle}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(res.Teams) != 3 || res.Teams[2].Team != "" || res.Teams[1].Requests != 0 {
+		t.Fatalf("%+v", res.Teams)
+	}
+	got, none := res.Teams[0], res.Teams[2]
+	// 200 requests of 150 tokens: 1,500 a second is half of what it sends. The
+	// budget has room for about 160 of them.
+	if got.Requests != 200 || got.Taken < 85 || got.Taken > 120 || got.Refused["budget_spent"] < 30 || got.Refused["budget_spent"] > 45 ||
+		got.Missed != got.Refused["budget_spent"] || got.Served != 200 || got.Over+got.Taken+got.Refused["budget_spent"] != 200 {
+		got.Series = nil
+		t.Errorf("%+v", got)
+	}
+	if none.Requests != 50 || none.Over != 50 || none.Served != 50 {
+		t.Errorf("%+v", none)
+	}
+	if got.Used > 24_000 || got.Used < 22_000 || got.Copies == 0 {
+		t.Errorf("used %v, copies %d", got.Used, got.Copies)
+	}
+	if n := len(res.Notices); n != 3 || res.Notices[2].Percent != 100 {
+		t.Errorf("%+v", res.Notices)
+	}
+	sum := 0.0
+	for _, p := range got.Series {
+		sum += (p.Full + p.Over + p.Out) * res.To.Sub(res.From).Seconds() / float64(len(got.Series))
+	}
+	if sum < 25_000 || sum > 30_500 {
+		t.Errorf("the series sums to %v tokens", sum)
+	}
+	// Cut to a part.
+	part, err := trial.Run(run, trial.Options{Settings: contract.Settings{Pool: 1}, Terms: []contract.Terms{a}, From: run.Begin() + 5_000_000})
+	if err != nil || part.Teams[0].Requests < 95 || part.Teams[0].Requests > 105 {
+		t.Errorf("%v %+v", err, part)
+	}
+	if _, err := trial.Run(run, trial.Options{Terms: []contract.Terms{a}, From: run.End() + 60_000_000}); err == nil {
+		t.Error("nothing lies there")
+	}
+	// The page has all of it, and what came from outside is escaped.
+	res.Teams[0].Team = "<script>a"
+	var page strings.Builder
+	if err := report.Write(&page, []*trial.Result{res}); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"&lt;script&gt;a", "<svg", "budget spent", "(no contract)", "80%"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+	if strings.Contains(page.String(), "<script>") || strings.Contains(page.String(), "http://") && !strings.Contains(page.String(), "http://www.w3.org") {
+		t.Error("the page has what it must not have")
+	}
+}
--- /dev/null
+++ b/internal/contract/ways_test.go
@@ -0,0 +1,230 @@
+package contract
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"archknot/choice"
+)
+
+// The mechanisms that were weighed, each in the form that a gateway without a
+// queue could use: a request is let in at full worth at once, or it is not.
+
+// mechanism shares so many units a second among teams.
+type mechanism interface {
+	full(now choice.Micros, team int, cost float64) bool
+}
+
+// buckets are token buckets that lend nothing.
+type buckets struct {
+	rate, level []float64
+	at          choice.Micros
+}
+
+func (m *buckets) full(now choice.Micros, team int, cost float64) bool {
+	dt := float64(now-m.at) / 1e6
+	m.at = now
+	for i := range m.level {
+		m.level[i] = math.Min(m.rate[i], m.level[i]+m.rate[i]*dt)
+	}
+	if m.level[team] < cost {
+		return false
+	}
+	m.level[team] -= cost
+	return true
+}
+
+// fairTime is start-time fair queuing as admission: a request is let in while its
+// team's start tag is less than a second ahead of the virtual time, which runs the
+// faster the fewer teams have tags ahead of it.
+type fairTime struct {
+	rate, tag []float64
+	v         float64
+	at        choice.Micros
+}
+
+func (m *fairTime) full(now choice.Micros, team int, cost float64) bool {
+	left, all := float64(now-m.at)/1e6, 0.0
+	m.at = now
+	for _, r := range m.rate {
+		all += r
+	}
+	for left > 1e-12 { // piece by piece, as teams fall behind the virtual time
+		busy, next := 0.0, math.Inf(1)
+		for i, t := range m.tag {
+			if t > m.v {
+				busy += m.rate[i]
+				next = math.Min(next, t-m.v)
+			}
+		}
+		if busy == 0 {
+			m.v += left
+			break
+		}
+		step := math.Min(left, next*busy/all)
+		m.v += step * all / busy
+		left -= step
+	}
+	start := math.Max(m.v, m.tag[team])
+	if start > m.v+1 {
+		return false
+	}
+	m.tag[team] = start + cost/m.rate[team]
+	return true
+}
+
+// deficit is deficit round robin as admission: every tenth of a second each team
+// gets its quantum, and what teams that asked for less left of theirs goes to those
+// that were refused, by their weights. A deficit is bounded to a second.
+type deficit struct {
+	rate, level []float64
+	wanted      []bool
+	round       choice.Micros
+}
+
+func (m *deficit) full(now choice.Micros, team int, cost float64) bool {
+	const every = 100_000
+	for now-m.round >= every {
+		m.round += every
+		spare, weights := 0.0, 0.0
+		for i, r := range m.rate {
+			m.level[i] += r / 10
+			if over := m.level[i] - r; over > 0 {
+				spare += over
+				m.level[i] = r
+			}
+			if m.wanted[i] {
+				weights += r
+			}
+		}
+		for i, r := range m.rate {
+			if m.wanted[i] && weights > 0 {
+				m.level[i] += spare * r / weights
+			}
+			m.wanted[i] = false
+		}
+	}
+	if m.level[team] < cost {
+		m.wanted[team] = true
+		return false
+	}
+	m.level[team] -= cost
+	return true
+}
+
+// pooled is what was taken: Book.
+type pooled struct{ b *Book }
+
+func (m pooled) full(now choice.Micros, team int, cost float64) bool {
+	var c Charge
+	v := m.b.Take(now, names[team], "", Use{Made: int(cost)}, &c)
+	m.b.Settle(now, &c, Use{Made: int(cost)}, true)
+	return v.Worth == 1
+}
+
+var names = []string{"a", "b", "c"}
+
+func mechanisms(t testing.TB, rate []float64) map[string]mechanism {
+	var terms []Terms
+	level := make([]float64, len(rate))
+	for i, r := range rate {
+		terms = append(terms, team(names[i], r))
+		level[i] = r
+	}
+	again := func() []float64 { return append([]float64(nil), level...) }
+	return map[string]mechanism{"1 buckets": &buckets{rate: rate, level: again()}, "2 fair time": &fairTime{rate: rate, tag: make([]float64, len(rate))},
+		"3 deficit": &deficit{rate: rate, level: again(), wanted: make([]bool, len(rate))}, "4 buckets with a pool": pooled{book(t, terms...)}}
+}
+
+// sends is one team's traffic: tokens a second by time, and tokens a request.
+type sends struct {
+	perS func(s float64) float64
+	each float64
+}
+
+func steady(v float64) func(float64) float64 { return func(float64) float64 { return v } }
+
+// try plays Poisson traffic and gives what was let in at full worth, and asked for,
+// by team and second.
+func try(m mechanism, seed uint64, seconds int, traffic [3]sends) (full, asked [3][]float64) {
+	rng := rand.New(rand.NewPCG(seed, 9))
+	var next [3]float64
+	for i := range full {
+		full[i], asked[i] = make([]float64, seconds), make([]float64, seconds)
+		next[i] = rng.ExpFloat64() * traffic[i].each / math.Max(1, traffic[i].perS(0))
+	}
+	for {
+		i := 0
+		for j := range next {
+			if next[j] < next[i] {
+				i = j
+			}
+		}
+		at := next[i]
+		if at >= float64(seconds) {
+			return full, asked
+		}
+		if rate := traffic[i].perS(at); rate > 0 {
+			asked[i][int(at)] += traffic[i].each
+			if m.full(sec+choice.Micros(at*1e6), i, traffic[i].each) {
+				full[i][int(at)] += traffic[i].each
+			}
+			next[i] = at + rng.ExpFloat64()*traffic[i].each/rate
+		} else {
+			next[i] = at + 0.01
+		}
+	}
+}
+
+func total(v []float64) (sum float64) {
+	for _, x := range v {
+		sum += x
+	}
+	return sum
+}
+
+// The figures of docs/measurements/contracts.md, "Mechanisms": how far a surge's
+// share is off, how much of the whole one busy team gets, how much a team that
+// comes back lacks in its first two seconds, what a team at 0.9 of its rate is
+// refused by chance, and by requests of a third of a second's worth.
+func TestMechanisms(t *testing.T) {
+	rate := []float64{4000, 3000, 3000}
+	type figures struct{ surge, alone, back, chance, dear, cost float64 }
+	rows := map[string]figures{}
+	for name := range mechanisms(t, rate) {
+		var f figures
+		m := func() mechanism { return mechanisms(t, rate)[name] }
+		full, _ := try(m(), 1, 65, [3]sends{{steady(40_000), 50}, {steady(3000), 50}, {steady(3000), 50}})
+		for w := 5; w < 55; w += 10 {
+			f.surge = math.Max(f.surge, math.Abs(total(full[0][w:w+10])/40_000-1))
+		}
+		full, _ = try(m(), 2, 30, [3]sends{{steady(30_000), 50}, {steady(0), 50}, {steady(0), 50}})
+		f.alone = total(full[0][5:]) / 250_000
+		full, asked := try(m(), 3, 30, [3]sends{{steady(40_000), 50}, {func(s float64) float64 {
+			if s < 20 {
+				return 0
+			}
+			return 3000
+		}, 50}, {steady(3000), 50}})
+		f.back = 1 - total(full[1][20:22])/math.Min(6000, total(asked[1][20:22]))
+		full, asked = try(m(), 4, 60, [3]sends{{steady(3600), 50}, {steady(2700), 50}, {steady(2700), 50}})
+		f.chance = 1 - (total(full[0])+total(full[1])+total(full[2]))/(total(asked[0])+total(asked[1])+total(asked[2]))
+		full, _ = try(m(), 5, 65, [3]sends{{steady(40_000), 1300}, {steady(3000), 50}, {steady(3000), 50}})
+		f.dear = math.Abs(total(full[0][5:])/240_000 - 1)
+		busy, begin, n := m(), time.Now(), 0
+		for ; n < 200_000; n++ {
+			busy.full(sec+choice.Micros(n*100), n%3, 50)
+		}
+		f.cost = float64(time.Since(begin).Nanoseconds()) / float64(n)
+		rows[name] = f
+		t.Log(fmt.Sprintf("%-22s surge's share off by %5.2f%%; alone %5.1f%% of the whole; back: lacks %5.1f%%; by chance %5.2f%%; dear off by %5.2f%%; %4.0f ns",
+			name, 100*f.surge, 100*f.alone, 100*f.back, 100*f.chance, 100*f.dear, f.cost))
+	}
+	f := rows["4 buckets with a pool"]
+	if f.surge > 0.03 || f.alone < 0.98 || f.back > 0.02 {
+		t.Errorf("%+v", f)
+	}
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 
 const (
 	maxBody     = 64 << 10
+	maxAnswer   = 16 << 20
 	maxConns    = 8
 	orderWithin = 30 * time.Second
 )
@@ -113,7 +114,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/gateway/books_test.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"archknot/internal/capture"
+	pb "archknot/internal/capture/capturepb"
+	"archknot/internal/contract"
+	"archknot/internal/contract/ledger"
+	"archknot/internal/contract/split"
+	"archknot/internal/replay"
+	"archknot/internal/revision"
+	"archknot/internal/revision/configpb"
+	"archknot/internal/standin/controlservice"
+)
+
+// What the books were told stands in captures: verdicts, copies, settlements,
+// contracts that change in flight, parts and checkpoints replay alike, from the
+// beginning and from each checkpoint; a verdict that was another is found.
+func TestBooksAreRecorded(t *testing.T) {
+	dir := t.TempDir()
+	var flaky atomic.Int64
+	w1 := newWorker(t, "s-1", whole)
+	w2 := newWorker(t, "s-2", func(c net.Conn, r *http.Request) bool {
+		if flaky.Add(1)%2 == 0 {
+			return whole(c, r)
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	store, _, err := ledger.Open(filepath.Join(t.TempDir(), "b.db"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	c := agreed(15_000)
+	c.Settings.Reserve = 0.05
+	c.Split = func() split.Way { return split.Equal{Gateways: 1} }
+	g := start(t, func(o *Options) {
+		o.Capture, o.Contracts, o.Ledger = captureTo(dir), c, store
+		o.Capture.Recorder.Checkpoint = 3 * time.Millisecond
+	}, w1, w2)
+	refused := 0
+	for i := range 120 {
+		cl := dial(t, g.addr)
+		cl.askAs(fmt.Sprint("r", i), []string{"a", "b", "nobody"}[i%3])
+		if resp, _ := cl.answer(); resp.StatusCode == http.StatusTooManyRequests {
+			refused++
+		}
+		switch i {
+		case 60:
+			next := agreed(60_000)
+			next.Settings.Reserve = 0.05
+			if err := g.Agree(t.Context(), next); err != nil {
+				t.Fatal(err)
+			}
+		case 80: // none at all, with what is in hand, and anew
+			if err := g.Agree(t.Context(), nil); err != nil {
+				t.Fatal(err)
+			}
+		case 90:
+			if err := g.Agree(t.Context(), agreed(100_000)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if refused == 0 {
+		t.Error("nothing was refused")
+	}
+	until(t, "settled", func() bool { return g.accounts(t)["a"].Open == 0 })
+	ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
+	defer stop()
+	if err := g.Record(ctx, nil); err != nil {
+		t.Fatal(err)
+	}
+	found, err := capture.Find(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, restart := range []bool{false, true} {
+		res, err := replay.Replay(found[0], replay.Options{Restart: restart, OnDiffer: func(d *replay.Difference) { t.Logf("%+v", *d) }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if res.Differ != 0 || res.Gaps != 0 || res.Skipped != 0 || res.Verdicts < 100 || res.Checkpoints < 3 {
+			t.Errorf("restart %v: %s verdicts=%d checkpoints=%d %v", restart, res.Line(), res.Verdicts, res.Checkpoints, res.ByKind)
+		}
+	}
+	// Told otherwise, the record is found to differ.
+	r, err := capture.NewReader(found[0], found[0].Begin())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	var l *capture.Ledger
+	for {
+		e, err := r.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if e.Record.Kind == pb.Kind_KIND_CHECKPOINT && l == nil {
+			if l, err = capture.RestoreLedger(e.Record.Checkpoint); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if e.Record.Kind == pb.Kind_KIND_CHARGED {
+			e.Record.Charged.Worth = 0.7
+			if own, recorded, err := l.Apply(e.At, e.Record); err != nil || own == recorded {
+				t.Errorf("%q %q %v", own, recorded, err)
+			}
+			break
+		}
+	}
+}
+
+// A gateway that is killed counts afterwards at least what was used; one that ends
+// in order, exactly that.
+func TestBalancesAreKept(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "b.db")
+	w := newWorker(t, "s-1", whole)
+	for _, clean := range []bool{true, false} {
+		var used, before contract.Units
+		for life := range 2 {
+			store, _, err := ledger.Open(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := agreed(1_000_000)
+			c.Settings.Reserve, c.Settings.Strict = 0.01, true
+			g := start(t, func(o *Options) { o.Contracts, o.Ledger = c, store }, w)
+			if before = g.accounts(t)["a"].Used[contract.Quarter]; life == 1 {
+				switch {
+				case clean && before != used, before < used, before > used+10_000*contract.Token+5320*contract.Token:
+					t.Errorf("clean %v: %d counts as used, %d was", clean, before/contract.Token, used/contract.Token)
+				}
+			}
+			cl := dial(t, g.addr)
+			for i := range 5 {
+				cl.askAs(fmt.Sprintf("r%d-%d", life, i), "a")
+				if resp, text := cl.answer(); resp.StatusCode == http.StatusTooManyRequests && !strings.Contains(text, "balance_not_kept") {
+					t.Error(text)
+				}
+				until(t, "settled", func() bool { return g.accounts(t)["a"].Open == 0 })
+			}
+			used = g.accounts(t)["a"].Used[contract.Quarter]
+			if clean {
+				if err := g.CloseBooks(t.Context()); err != nil {
+					t.Error(err)
+				}
+			}
+			store.Close() // a kill: what was handed over and not written is lost
+		}
+	}
+}
+
+// told tells whether the service was told of a refusal in such words.
+func told(s *controlservice.Service, words string) bool {
+	for _, a := range s.Answers() {
+		if strings.Contains(a.Err, words) {
+			return true
+		}
+	}
+	return false
+}
+
+// A version of the streamed configuration brings contracts, in the place of the
+// files'; one that would refuse all that a team sends is turned down.
+func TestContractsAreStreamed(t *testing.T) {
+	w := newWorker(t, "s-1", whole)
+	s, err := controlservice.Start("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Vanish)
+	g := start(t, func(o *Options) { o.Contracts = agreed(1_000_000) }, w)
+	v := follow(t, "n0", s.Addr(), g)
+	cl := dial(t, g.addr)
+	send := func(n uint64, teams ...contract.Terms) {
+		version := chatVersion(n)
+		version.Resources[revision.TypeContract] = []proto.Message{}
+		for i := range teams {
+			version.Resources[revision.TypeContract] = append(version.Resources[revision.TypeContract], &configpb.Contract{Name: teams[i].Team, Terms: teams[i].Put()})
+		}
+		s.Publish(version)
+	}
+	ask := func(id string, want int) {
+		t.Helper()
+		cl.askAs(id, "a")
+		if resp, text := cl.answer(); resp.StatusCode != want {
+			t.Errorf("%s: %s %s", id, resp.Status, text)
+		}
+		until(t, "settled", func() bool { return g.accounts(t)["a"].Open == 0 })
+	}
+	ask("files", http.StatusOK)
+	tight := agreed(7_000).Teams
+	send(1, tight...)
+	until(t, "version 1", func() bool { return v.on() == 1 })
+	ask("streamed", http.StatusOK) // 1224 used, 1224 more
+	ask("spent", http.StatusTooManyRequests)
+	// Valid alone, but not as a step: below what is used.
+	send(2, agreed(500).Teams...)
+	until(t, "version 2 turned down", func() bool { return v.on() == 1 && told(s, "below the") })
+	bad := agreed(7_000).Teams
+	bad[0].Rate = -1
+	send(3, bad...)
+	until(t, "version 3 turned down", func() bool { return v.on() == 1 && told(s, "rate") })
+	send(4, agreed(9_000).Teams...)
+	until(t, "version 4", func() bool { return v.on() == 4 })
+	ask("more", http.StatusOK)
+	s.Publish(chatVersion(5)) // without contracts: the files' again, and what was used goes on
+	until(t, "version 5", func() bool { return v.on() == 5 })
+	ask("files-again", http.StatusOK)
+	if used := g.accounts(t)["a"].Used[contract.Quarter]; used != 4*1224*contract.Token {
+		t.Errorf("used %d", used/contract.Token)
+	}
+}
--- a/internal/gateway/contracts.go
+++ b/internal/gateway/contracts.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"archknot/choice"
 	"archknot/internal/contract"
+	"archknot/internal/contract/ledger"
+	"archknot/internal/contract/split"
 	"archknot/internal/memory"
 	"archknot/internal/wire/socket"
 )
@@ -17,35 +20,109 @@
 type Contracts struct {
 	Settings contract.Settings
 	Teams    []contract.Terms
+	// Split makes the way in which this gateway tells its parts of them; nil: it is
+	// the only one.
+	Split func() split.Way
 }
 
-// agree puts contracts in force.
-func (l *loop) agree(c *Contracts, now choice.Micros) error {
-	if c == nil {
-		l.book = nil
+// openBooks puts the first contracts in force, where the kept balances end.
+func (g *Gateway) openBooks() error {
+	if g.o.Ledger != nil {
+		g.keeper = ledger.NewWriter(g.o.Ledger, g.written)
+	}
+	if g.o.Contracts == nil {
+		return nil
+	}
+	stored, err := g.stored()
+	if err != nil {
+		return err
+	}
+	now := g.clock.now()
+	g.loop.now, g.loop.files = now, g.o.Contracts
+	if err := g.loop.agree(stored); err != nil || g.keeper == nil || g.loop.book == nil {
+		return err
+	}
+	// Written before anything is served: a strict book needs it, and a disk that
+	// cannot be written is told at once.
+	number, list := g.loop.books.Checkpoint(now)
+	if err := g.o.Ledger.Write(list); err != nil {
+		return err
+	}
+	g.loop.books.Kept(now, number, true)
+	return nil
+}
+
+func (g *Gateway) stored() ([]contract.Balance, error) {
+	if g.o.Ledger == nil {
+		return nil, nil
+	}
+	return g.o.Ledger.Load()
+}
+
+// agree puts in force what the files have, with a version's contracts in place of
+// theirs if it has any. A book that begins anew goes on where stored balances end.
+func (l *loop) agree(stored []contract.Balance) error {
+	defer func() { l.g.agreed.Store(l.book != nil) }()
+	c := Contracts{}
+	if l.files != nil {
+		c = *l.files
+	}
+	if l.versioned != nil {
+		c.Teams = l.versioned
+	}
+	if len(c.Teams) == 0 {
+		if l.book != nil && l.record != nil {
+			l.record.r.Renew(l.now, nil, 0, nil)
+		}
+		l.book, l.books, l.shares = nil, nil, shares{}
 		return nil
 	}
-	if l.book != nil && l.book.Settings() == c.Settings {
-		return l.book.Agree(now, c.Teams)
+	if l.shares.way = nil; c.Split != nil {
+		l.shares.way = c.Split()
+	}
+	l.shares.at, l.shares.own, l.shares.all = 0, 0, 0
+	if l.book != nil {
+		return l.books.Agree(l.now, c.Settings, c.Teams)
+	}
+	unix := time.Now().UnixMicro()
+	book, err := contract.New(c.Settings, c.Teams, l.now, unix)
+	if err != nil {
+		return err
+	}
+	if n := book.Resume(stored); n > 0 {
+		slog.Info("balances", "resumed", n)
 	}
-	book, err := contract.New(c.Settings, c.Teams, now, time.Now().UnixMicro())
-	if err == nil {
-		l.book = book
+	if l.book = book; l.record != nil {
+		l.record.r.Renew(l.now, book, unix, stored)
 	}
-	return err
+	l.setBooks()
+	return nil
 }
 
 type agreeOrder struct {
-	c    *Contracts
-	done chan error
+	c      *Contracts
+	stored []contract.Balance
+	done   chan error
 }
 
-func (e agreeOrder) apply(l *loop) { e.done <- l.agree(e.c, l.now) }
+func (e agreeOrder) apply(l *loop) {
+	before := l.files
+	l.files = e.c
+	err := l.agree(e.stored)
+	if err != nil {
+		l.files = before
+	}
+	e.done <- err
+}
 
 // Agree puts other contracts in force; nil is none. What is in hand is settled as
 // it was charged.
 func (g *Gateway) Agree(ctx context.Context, c *Contracts) error {
-	e := agreeOrder{c, make(chan error, 1)}
+	stored, err := g.stored()
+	if err != nil {
+		return err
+	}
+	e := agreeOrder{c, stored, make(chan error, 1)}
 	g.loop.post(ctx, e)
 	select {
 	case err := <-e.done:
@@ -55,12 +132,173 @@
 	}
 }
 
+// bookEvery is how often balances that are due are written.
+const bookEvery = 250 * time.Millisecond
+
+// bookkeeping has the loop look after the books.
+func (g *Gateway) bookkeeping(ctx context.Context) {
+	t := time.NewTicker(bookEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			if g.agreed.Load() {
+				g.loop.post(ctx, bookTick{})
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+type bookTick struct{}
+
+func (bookTick) apply(l *loop) {
+	if l.book == nil {
+		return
+	}
+	if l.g.keeper != nil && l.book.Due() && !l.shares.writing {
+		number, list := l.books.Checkpoint(l.now)
+		if l.shares.writing = l.g.keeper.Write(number, list); !l.shares.writing {
+			l.books.Kept(l.now, number, false)
+		}
+	}
+	l.share()
+}
+
+// written is told by the store's task how a checkpoint went.
+func (g *Gateway) written(number uint64, err error) {
+	ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+	defer stop()
+	g.loop.post(ctx, writtenEvent{number, err})
+}
+
+type writtenEvent struct {
+	number uint64
+	err    error
+}
+
+func (e writtenEvent) apply(l *loop) {
+	l.shares.writing = false
+	if l.book == nil {
+		return
+	}
+	l.books.Kept(l.now, e.number, e.err == nil)
+	if e.err != nil && l.now-l.shares.toldAt >= failedEvery {
+		l.shares.toldAt = l.now
+		slog.Error("balances_failed", "err", e.err, "exposed", l.book.Exposed()/contract.Token)
+	}
+}
+
+// failedEvery is how often a store that cannot be written is told.
+const failedEvery choice.Micros = 10_000_000
+
+type finalOrder struct{ done chan []contract.Balance }
+
+func (e finalOrder) apply(l *loop) {
+	if l.book == nil {
+		e.done <- nil
+		return
+	}
+	e.done <- l.book.Final()
+}
+
+// CloseBooks writes all balances as they are. It is called once nothing is in hand.
+func (g *Gateway) CloseBooks(ctx context.Context) error {
+	if g.keeper == nil {
+		return nil
+	}
+	e := finalOrder{make(chan []contract.Balance, 1)}
+	g.loop.post(ctx, e)
+	select {
+	case list := <-e.done:
+		g.keeper.Close()
+		if list == nil {
+			return nil
+		}
+		return g.o.Ledger.Write(list)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Accounts are the teams' books as they stand; none without contracts.
+func (g *Gateway) Accounts(ctx context.Context) ([]contract.Account, error) {
+	e := accountsOrder{make(chan []contract.Account, 1)}
+	g.loop.post(ctx, e)
+	select {
+	case list := <-e.done:
+		return list, nil
+	case <-ctx.Done():
+		return nil, errors.Join(errors.New("the gateway does not answer"), ctx.Err())
+	}
+}
+
+type accountsOrder struct{ done chan []contract.Account }
+
+func (e accountsOrder) apply(l *loop) {
+	if l.book == nil {
+		e.done <- nil
+		return
+	}
+	e.done <- l.book.Accounts()
+}
+
+// shares is what the gateway sees of the work in hand at the workers, of which it
+// tells its own parts of the contracts, and what else is kept beside the book.
+type shares struct {
+	way      split.Way // nil: it is the only gateway
+	own, all float64   // sums over the workers' reports since the last look
+	at       choice.Micros
+	last     []contract.Count
+
+	writing bool          // a checkpoint of balances is on its way to the disk
+	toldAt  choice.Micros // when it was last said that it failed
+}
+
+// shareEvery is how often the gateway tells its parts anew.
+const shareEvery choice.Micros = 1_000_000
+
+// reported notes what a worker says that it has in hand, beside what was sent there.
+func (l *loop) reported(w *memory.Worker, r *choice.Report) {
+	if l.shares.way == nil || r.Has&choice.HasInFlight == 0 {
+		return
+	}
+	all := r.InFlight
+	if r.Has&choice.HasQueued != 0 {
+		all += r.Queued
+	}
+	// The report may be from before the last of this gateway's requests came.
+	l.shares.own += float64(w.Out())
+	l.shares.all += max(all, float64(w.Out()))
+}
+
+// share tells the book the gateway's parts of the contracts.
+func (l *loop) share() {
+	s := &l.shares
+	if s.way == nil || l.now-s.at < shareEvery {
+		return
+	}
+	accounts := l.book.Accounts()
+	seen := split.Seen{Span: l.now - s.at, Own: s.own, All: s.all}
+	if len(s.last) != len(accounts) || s.at == 0 {
+		s.last, seen.Span = make([]contract.Count, len(accounts)), 0
+	}
+	for i, t := range l.book.Terms() {
+		c, was := &accounts[i].Count, &s.last[i]
+		seen.Teams = append(seen.Teams, split.Team{Rate: t.Rate, Asked: float64(c.Asked() - was.Asked()), Used: float64(c.Used - was.Used)})
+		*was = *c
+	}
+	s.at, s.own, s.all = l.now, 0, 0
+	l.books.SetParts(l.now, s.way.Parts(seen))
+}
+
 // leastFactor stands for a worth of nothing, for 0 says that there is no contract.
 const leastFactor = 1e-6
 
 // chargeFor charges a request, or a copy of it, what it is thought to use.
-func (l *loop) chargeFor(r *memory.Request, c *contract.Charge) contract.Verdict {
-	return l.book.Take(l.now, r.In.Tenant, r.In.Class, l.book.Estimate(r.In.Class, r.In.PromptTokens, r.In.MaxTokens), c)
+func (l *loop) chargeFor(r *memory.Request, copy int, c *contract.Charge) contract.Verdict {
+	return l.books.Charge(l.now, &r.In, copy, c)
 }
 
 // admitted has the team's contract judge a request before the module does. One
@@ -69,7 +307,7 @@
 	if l.book == nil {
 		return true
 	}
-	v := l.chargeFor(r, &r.Charge)
+	v := l.chargeFor(r, 0, &r.Charge)
 	l.notices()
 	if v.Refuse {
 		r.Done = true
@@ -77,7 +315,7 @@
 		l.requests.Forget(r)
 		return false
 	}
-	r.In.Factor = max(leastFactor, v.Worth)
+	r.In.Factor, r.Over, r.Thought = max(leastFactor, v.Worth), v.Over, r.Charge.Thought
 	return true
 }
 
@@ -92,7 +330,7 @@
 		d.Charge, r.Charge = r.Charge, contract.Charge{}
 		return true
 	}
-	if v := l.chargeFor(r, &d.Charge); v.Refuse {
+	if v := l.chargeFor(r, d.N, &d.Charge); v.Refuse {
 		d.Cancel()
 		l.later = append(l.later, ended{d: d, status: choice.NotSent})
 		return false
@@ -113,14 +351,28 @@
 	case e.status == choice.Served && e.tokens > 0:
 		used = contract.Use{Read: max(0, e.d.Request.In.PromptTokens-e.kept), Made: e.tokens}
 	}
-	l.book.Settle(l.now, &e.d.Charge, used, e.status == choice.Served)
+	l.books.Settle(l.now, e.d.Request.ID, e.d.N, &e.d.Charge, used, e.status == choice.Served)
 	l.notices()
 }
 
+// turnedAway tells the book that the module, or the workers, had no room for a
+// request. What ran and failed is no such thing.
+func (l *loop) turnedAway(r *memory.Request) {
+	if l.book == nil || r.In.Factor == 0 {
+		return
+	}
+	for _, d := range r.Delegations {
+		if !d.NeverRan {
+			return
+		}
+	}
+	l.books.TurnedAway(l.now, &r.In, r.Thought, r.Over)
+}
+
 // release settles a charge that no delegation had.
 func (l *loop) release(r *memory.Request) {
 	if l.book != nil {
-		l.book.Settle(l.now, &r.Charge, contract.Use{}, false)
+		l.books.Settle(l.now, r.ID, 0, &r.Charge, contract.Use{}, false)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"archknot/choice"
+	"archknot/internal/contract/ledger"
 	"archknot/internal/memory"
 	"archknot/internal/wire/socket"
 )
@@ -40,8 +41,9 @@
 	LateStart      time.Duration // after which the saved list will do to be ready
 	DrainAccept    time.Duration // how long SIGTERM leaves the listener open
 
-	Capture   *Capture   // nil: nothing is recorded
-	Contracts *Contracts // nil: there are none
+	Capture   *Capture      // nil: nothing is recorded
+	Contracts *Contracts    // nil: there are none
+	Ledger    *ledger.Store // of teams' balances; nil: they are not kept
 
 	Ended func(bad bool) // told of each request that ends: late or not served, or well; nil: nobody
 }
@@ -61,6 +63,8 @@
 	rareAway rare
 	ready    atomic.Bool
 	draining atomic.Bool
+	keeper   *ledger.Writer // nil: balances are not kept
+	agreed   atomic.Bool    // there are contracts
 }
 
 // New returns a gateway, or tells why the module does not take its settings.
@@ -75,10 +79,8 @@
 	if g.loop, err = newLoop(g); err != nil {
 		return nil, err
 	}
-	if o.Contracts != nil {
-		if err := g.loop.agree(o.Contracts, g.clock.now()); err != nil {
-			return nil, err
-		}
+	if err := g.openBooks(); err != nil {
+		return nil, err
 	}
 	if o.Capture != nil {
 		w, err := o.Capture.writer(o.Seed)
@@ -98,6 +100,7 @@
 	go g.watch(ctx)
 	go g.sweep(ctx)
 	go g.readyLate(ctx)
+	go g.bookkeeping(ctx)
 	err := g.server.Serve(g.clients.listen(l))
 	if err == http.ErrServerClosed {
 		err = nil
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -20,21 +20,25 @@
 // events; its actions reach them by channels that have room, so that no socket
 // ever holds it up.
 type loop struct {
-	g        *Gateway
-	b        *choice.Balancer
-	m        capture.Module // b, or the recorder before it
-	record   *recording     // nil: off
-	events   chan event
-	watches  chan struct{} // orders to the watch task
-	now      choice.Micros // read once a turn
-	timers   timers
-	requests *memory.Requests
-	registry *memory.Registry
-	told     bool                       // the registry itself has answered
-	book     *contract.Book             // nil: no contracts
-	later    []event                    // that an order brought about; applied at the end of the turn
-	truth    map[string]socket.Instance // the list as the registry has it, without marks
-	marks    map[string]bool            // workers that a version drains
+	g         *Gateway
+	b         *choice.Balancer
+	m         capture.Module // b, or the recorder before it
+	record    *recording     // nil: off
+	events    chan event
+	watches   chan struct{} // orders to the watch task
+	now       choice.Micros // read once a turn
+	timers    timers
+	requests  *memory.Requests
+	registry  *memory.Registry
+	told      bool                       // the registry itself has answered
+	book      *contract.Book             // nil: no contracts
+	books     capture.Books              // the book, or the recorder before it
+	files     *Contracts                 // that the settings name; nil: none
+	versioned []contract.Terms           // a version's, in the place of theirs; nil: it has none
+	shares    shares                     // what this gateway's parts of contracts are told from
+	later     []event                    // that an order brought about; applied at the end of the turn
+	truth     map[string]socket.Instance // the list as the registry has it, without marks
+	marks     map[string]bool            // workers that a version drains
 }
 
 func newLoop(g *Gateway) (*loop, error) {
@@ -163,7 +167,9 @@
 	if r.Bound == e.d {
 		r.Done = true
 	}
+	e.d.NeverRan = e.status.NeverRan()
 	l.settle(&e)
+	l.reported(e.d.Worker, &e.report)
 	if e.status != choice.Served {
 		slog.LogAttrs(context.Background(), slog.LevelInfo, "delegation", slog.String("id", r.Name), slog.Int("n", e.d.N),
 			slog.String("worker", e.d.Worker.Instance.ID), slog.String("status", statusWords[e.status]),
@@ -183,6 +189,7 @@
 }
 
 func (e probed) apply(l *loop) {
+	l.reported(e.w, &e.report)
 	l.m.ProbeEnded(l.now, choice.Outcome{Replica: e.w.ID, Status: e.status, Elapsed: e.elapsed, Report: e.report})
 }
 
@@ -272,6 +279,7 @@
 	r.Done = true
 	r.Actions <- a
 	l.release(r)
+	l.turnedAway(r)
 	l.requests.Forget(r)
 }
 
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -6,6 +6,7 @@
 
 	"archknot/choice"
 	"archknot/internal/capture"
+	"archknot/internal/contract"
 )
 
 // Capture says how the gateway records what its module is told and orders.
@@ -41,9 +42,12 @@
 		old = l.record.w
 	}
 	l.record, l.m = e.next, l.b
+	l.setBooks()
 	if n := e.next; n != nil {
-		n.r = capture.Record(l.now, l.b, l, n.w, capture.Host{Timers: l.pending, WorkerName: l.workerName, RequestName: l.requestName}, n.o)
+		n.r = capture.Record(l.now, l.b, l.book, l, n.w, capture.Host{Timers: l.pending, WorkerName: l.workerName, RequestName: l.requestName,
+			Charges: l.charges}, n.o)
 		l.m = n.r
+		l.setBooks()
 	}
 	if e.old != nil {
 		e.old <- old
@@ -58,6 +62,25 @@
 	return out
 }
 
+// setBooks has what the book is told go through the recorder, if there is one.
+func (l *loop) setBooks() {
+	switch {
+	case l.book == nil:
+		l.books = nil
+	case l.record != nil && l.record.r != nil:
+		l.books = l.record.r
+	default:
+		l.books = capture.Plain{Book: l.book}
+	}
+}
+
+func (l *loop) charges() (out []contract.Open) {
+	l.requests.Charges(func(id choice.RequestID, copy int, c *contract.Charge) {
+		out = append(out, contract.Open{Key: capture.ChargeKey(id, copy), Charge: c})
+	})
+	return out
+}
+
 func (l *loop) workerName(id choice.ReplicaID) string {
 	if w := l.registry.Worker(id); w != nil {
 		return w.Instance.ID
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"archknot/choice"
+	"archknot/internal/contract"
 	"archknot/internal/revision"
 	"archknot/internal/wire/socket"
 )
@@ -81,7 +83,11 @@
 // ApplyVersion takes a version, or with nil goes back to the files. It is taken
 // whole, between two events of the loop, or not at all: the refusals say why.
 func (g *Gateway) ApplyVersion(ctx context.Context, c *revision.Config, limits revision.Limits) revision.Refusals {
-	e := versionOrder{g.whole(c), limits, make(chan revision.Refusals, 1)}
+	stored, err := g.stored()
+	if err != nil {
+		return revision.Refusals{{Type: revision.TypeContract, Reason: err.Error()}}
+	}
+	e := versionOrder{g.whole(c), stored, limits, make(chan revision.Refusals, 1)}
 	g.loop.post(ctx, e)
 	select {
 	case r := <-e.done:
@@ -93,6 +99,7 @@
 
 type versionOrder struct {
 	c      *revision.Config
+	stored []contract.Balance
 	limits revision.Limits
 	done   chan revision.Refusals
 }
@@ -116,6 +123,14 @@
 	// Well below the workers' own limit, as for the files' figure.
 	g.pool.SetLimits(e.c.Connections.Workers, us(s.ConnIdle)*3/4, us(e.c.Connections.ConnectTimeout))
 	l.mark(e.c.Drained())
+	if had := l.versioned != nil; had || e.c.HasContracts {
+		if l.versioned = nil; e.c.HasContracts {
+			l.versioned = append([]contract.Terms{}, e.c.Contracts...)
+		}
+		if err := l.agree(e.stored); err != nil {
+			slog.Error("contracts_failed", "err", err) // they were checked: not to be seen
+		}
+	}
 	e.done <- nil
 }
 
@@ -130,6 +145,9 @@
 	for name, in := range tenants {
 		p.Tenants[name] = in.Requests
 	}
+	if l.book != nil {
+		p.Accounts = l.book.Accounts()
+	}
 	for name, i := range l.truth {
 		s := revision.WorkerState{Registry: i.State(), Marked: l.marks[name]}
 		if w := l.registry.Named(name); w != nil {
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -315,7 +315,7 @@
 	for b.Loop() {
 		c.Number++
 		c.Classes[0].Worth++
-		versionOrder{g.whole(c), limits, done}.apply(l)
+		versionOrder{g.whole(c), nil, limits, done}.apply(l)
 		if r := <-done; len(r) > 0 {
 			b.Fatal(r)
 		}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -20,10 +20,12 @@
 	"archknot/internal/capture"
 	"archknot/internal/conf"
 	"archknot/internal/confstream"
-	"archknot/internal/contract"
+	"archknot/internal/contract/ledger"
+	"archknot/internal/contract/split"
 	"archknot/internal/control"
 	"archknot/internal/gateway"
 	"archknot/internal/incident"
+	"archknot/internal/metrics"
 	"archknot/internal/revision"
 )
 
@@ -61,13 +63,52 @@
 	}
 }
 
-// contracts makes the gateway's part of the settings; nil: there are none.
+// contracts makes the gateway's part of the settings. Without teams there are none
+// in force, but for those that a version of the configuration brings.
 func contracts(c *conf.Config) *gateway.Contracts {
-	if !c.Contracts.On() {
-		return nil
+	out := &gateway.Contracts{Teams: c.Contracts.Teams, Settings: c.Contracts.Settings()}
+	switch c.Contracts.Split {
+	case "equal":
+		out.Split = func() split.Way { return split.Equal{Gateways: c.Contracts.Gateways} }
+	case "front":
+		out.Split = func() split.Way { return &split.Front{} }
+	case "alone":
+		out.Split = func() split.Way { return &split.Alone{} }
+	}
+	return out
+}
+
+// openLedger opens the store of balances, if there is one.
+func (s *server) openLedger() (closeIt func(), err error) {
+	path := s.conf.Contracts.Store
+	if path == "" {
+		return func() {}, nil
+	}
+	store, aside, err := ledger.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("contracts.store: %w", err)
+	}
+	if aside != "" {
+		slog.Error("balances_damaged", "set_aside", aside)
+	}
+	s.c.Gateway.Ledger = store
+	return func() { store.Close() }, nil
+}
+
+// closeBooks leaves the balances exact on disk, if the disk is quick enough.
+func (s *server) closeBooks() {
+	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+	defer stop()
+	done := make(chan error, 1)
+	go func() { done <- s.g.CloseBooks(ctx) }()
+	select {
+	case err := <-done:
+		if err != nil {
+			slog.Error("balances_failed", "err", err)
+		}
+	case <-ctx.Done():
+		slog.Error("balances_failed", "err", ctx.Err())
 	}
-	return &gateway.Contracts{Teams: c.Contracts.Teams,
-		Settings: contract.Settings{Zone: c.Contracts.Location(), Pool: c.Contracts.Pool.Seconds(), Unknown: c.Contracts.Other}}
 }
 
 // server is a running gateway with what SIGHUP may change about it.
@@ -78,6 +119,7 @@
 	conf     *conf.Config
 	g        *gateway.Gateway
 	control  *control.Server
+	metrics  *metrics.Server    // nil: none
 	stream   *confstream.Client // nil: no control service
 	store    *confstream.Store
 	version  *revision.Config // in force
@@ -110,6 +152,11 @@
 		return BadConfig{err}
 	}
 	defer closeStream()
+	closeLedger, err := s.openLedger()
+	if err != nil {
+		return BadConfig{err}
+	}
+	defer closeLedger()
 	s.c.Gateway.Contracts = contracts(s.conf)
 	s.c.Gateway.Capture = recording(s.c.Gateway.Name, s.conf)
 	runtime.GOMAXPROCS(s.c.Cores)
@@ -120,6 +167,9 @@
 	if err := s.listenControl(); err != nil {
 		return err
 	}
+	if err := s.listenMetrics(); err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", s.c.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -166,6 +216,7 @@
 			if s.control != nil {
 				s.control.Close()
 			}
+			s.closeBooks()
 			s.endRecording()
 			if err != nil {
 				return fmt.Errorf("drain: %w", err)
@@ -237,6 +288,15 @@
 	if was.Service != settings.Service {
 		slog.Warn("reload", "needs_restart", "control-service")
 	}
+	if was.Contracts.Store != settings.Contracts.Store {
+		slog.Warn("reload", "needs_restart", "contracts.store")
+	}
+	if was.Metrics != settings.Metrics {
+		s.metrics.Close()
+		if err := s.listenMetrics(); err != nil {
+			slog.Error("metrics_failed", "err", err)
+		}
+	}
 	if was.Control != settings.Control {
 		if s.control != nil {
 			s.control.Close()
@@ -248,12 +308,22 @@
 	}
 }
 
+// listenMetrics serves the figures, if that is wanted.
+func (s *server) listenMetrics() (err error) {
+	s.metrics = nil
+	if m := s.conf.Metrics; m.Listen != "" {
+		s.metrics, err = metrics.Listen(m.Listen, m.Teams, s.g)
+	}
+	return err
+}
+
 func (s *server) listenControl() (err error) {
 	if s.conf.Control.Socket == "" {
 		return nil
 	}
 	s.control, err = control.Listen(s.conf.Control.Socket, map[string]control.Handler{"capture/save": s.save,
-		"config/status": s.status, "config/history": s.history, "config/rollback": s.rollback})
+		"config/status": s.status, "config/history": s.history, "config/rollback": s.rollback,
+		"contracts/accounts": func(ctx context.Context, _ json.RawMessage) (any, error) { return s.g.Accounts(ctx) }})
 	return err
 }
 
--- a/internal/memory/registry.go
+++ b/internal/memory/registry.go
@@ -16,6 +16,7 @@
 	socket.Instance
 	ID    choice.ReplicaID
 	Since choice.Micros // its last start on the gateway's clock; 0: long ago
+	out   *int          // own delegations that are out on it; kept while the list changes
 }
 
 // Key stands for this very process at its address: connections kept under it
@@ -24,6 +25,20 @@
 	return fmt.Sprintf("%s@%s/%d", w.Instance.ID, w.Addr, w.StartedAtMs)
 }
 
+// Out is how many delegations are out on it. The loop counts them.
+func (w *Worker) Out() int {
+	if w.out == nil {
+		return 0
+	}
+	return *w.out
+}
+
+func (w *Worker) count(n int) {
+	if w.out != nil {
+		*w.out += n
+	}
+}
+
 // Registry is the registry's list as the gateway holds it. The loop owns it.
 type Registry struct {
 	version int64
@@ -76,10 +91,13 @@
 		was := old[in.ID]
 		switch {
 		case was != nil && was.StartedAtMs == in.StartedAtMs:
-			w.Since = was.Since
+			w.Since, w.out = was.Since, was.out
 		case in.StartedAtMs > 0:
 			w.Since = sinceOf(in.StartedAtMs)
 		}
+		if w.out == nil {
+			w.out = new(int)
+		}
 		changed[in.ID] = w
 		if w.State() == choice.MemberGone {
 			delete(next, in.ID)
--- a/internal/memory/requests.go
+++ b/internal/memory/requests.go
@@ -41,21 +41,24 @@
 	Done        bool            // finally answered, or the client has left
 	out         int             // delegations that have not ended
 	Charge      contract.Charge // until its first delegation has it
+	Thought     contract.Use    // what it was charged for
+	Over        bool            // it competes beyond its team's rate
 }
 
 // Delegation is one attempt of a request at a worker.
 type Delegation struct {
-	Request *Request
-	N       int
-	Worker  *Worker
-	SentAt  choice.Micros
-	CutAt   choice.Micros
-	Ctx     context.Context
-	Cancel  context.CancelFunc
-	Events  chan []byte // the stream as it comes; closed at its end
-	Whole   bool        // the stream came to its last chunk; set before Events closes
-	Charge  contract.Charge
-	ended   bool
+	Request  *Request
+	N        int
+	Worker   *Worker
+	SentAt   choice.Micros
+	CutAt    choice.Micros
+	Ctx      context.Context
+	Cancel   context.CancelFunc
+	Events   chan []byte // the stream as it comes; closed at its end
+	Whole    bool        // the stream came to its last chunk; set before Events closes
+	Charge   contract.Charge
+	NeverRan bool // known once it has ended
+	ended    bool
 }
 
 // Requests are those in hand, by the module's number. The loop owns it.
@@ -96,6 +99,7 @@
 	d.Ctx, d.Cancel = context.WithCancel(r.Ctx)
 	r.Delegations = append(r.Delegations, d)
 	r.out++
+	w.count(1)
 	return d
 }
 
@@ -106,9 +110,25 @@
 	}
 	d.ended = true
 	d.Request.out--
+	d.Worker.count(-1)
 	return true
 }
 
+// Charges lists what is charged to contracts and not settled, by the requests'
+// numbers and the copies'.
+func (s *Requests) Charges(each func(id choice.RequestID, copy int, c *contract.Charge)) {
+	for id, r := range s.byID {
+		if r.Charge.Open() {
+			each(id, 0, &r.Charge)
+		}
+		for _, d := range r.Delegations {
+			if d.Charge.Open() {
+				each(id, d.N, &d.Charge)
+			}
+		}
+	}
+}
+
 // Forget drops r once it is answered and nothing is out for it.
 func (s *Requests) Forget(r *Request) {
 	if r.Done && r.out == 0 {
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,152 @@
+// Package metrics serves a gateway's figures in the Prometheus form. Its listener
+// is the operators': off unless the settings name an address.
+package metrics
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"archknot/internal/contract"
+)
+
+// Source tells the figures.
+type Source interface {
+	Accounts(ctx context.Context) ([]contract.Account, error)
+}
+
+// scrapeWithin bounds the time that figures may take.
+const scrapeWithin = 2 * time.Second
+
+// Server serves /metrics until Close.
+type Server struct{ http *http.Server }
+
+// Listen opens the address. At most so many teams have figures of their own.
+func Listen(addr string, teams int, from Source) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("metrics.listen: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", Handler(teams, from))
+	s := &Server{&http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}}
+	go s.http.Serve(l)
+	return s, nil
+}
+
+// Close ends the server; a nil one is none.
+func (s *Server) Close() {
+	if s != nil {
+		s.http.Close()
+	}
+}
+
+// Handler serves the figures.
+func Handler(teams int, from Source) http.Handler {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), &accounts{teams, from})
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 4, Timeout: scrapeWithin * 2})
+}
+
+// Others is the label of the teams past the bound, summed up.
+const Others = "_others"
+
+type accounts struct {
+	most int
+	from Source
+}
+
+func desc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("archknot_contract_"+name, help, append([]string{"team"}, labels...), nil)
+}
+
+var (
+	requestsDesc = desc("requests_total", "Requests and further copies of them that the contract judged.", "verdict")
+	askedDesc    = desc("asked_tokens_total", "What they were thought to take, in tokens at price 1.", "verdict")
+	usedDesc     = desc("used_tokens_total", "What was used, as settled, in tokens at price 1.")
+	borrowedDesc = desc("borrowed_tokens_total", "What was taken of other teams' idle shares, in tokens at price 1.")
+	levelDesc    = desc("level_tokens", "What the team has saved up of its rate; below 0 it owes.")
+	openDesc     = desc("open_charges", "Charges that are not settled yet.")
+	partDesc     = desc("part", "Which part of the contract this gateway holds.")
+	budgetDesc   = desc("budget_used_tokens", "What was used in the period at hand.", "period")
+	limitDesc    = desc("budget_limit_tokens", "What may be used in the period at hand.", "period")
+	teamsDesc    = prometheus.NewDesc("archknot_contracts", "Contracts in force.", nil, nil)
+)
+
+func (a *accounts) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{requestsDesc, askedDesc, usedDesc, borrowedDesc, levelDesc, openDesc, partDesc, budgetDesc, limitDesc, teamsDesc} {
+		ch <- d
+	}
+}
+
+func (a *accounts) Collect(ch chan<- prometheus.Metric) {
+	ctx, stop := context.WithTimeout(context.Background(), scrapeWithin)
+	defer stop()
+	list, err := a.from.Accounts(ctx)
+	if err != nil {
+		ch <- prometheus.NewInvalidMetric(teamsDesc, err)
+		return
+	}
+	ch <- prometheus.MustNewConstMetric(teamsDesc, prometheus.GaugeValue, float64(len(list)))
+	token := float64(contract.Token)
+	var rest contract.Account
+	rest.Team = Others
+	for i := range list {
+		if len(list) > a.most && i >= a.most-1 {
+			sum(&rest, &list[i])
+			continue
+		}
+		put(ch, &list[i], token, true)
+	}
+	if len(list) > a.most {
+		put(ch, &rest, token, false)
+	}
+}
+
+func sum(to, a *contract.Account) {
+	c, o := &to.Count, &a.Count
+	c.Taken, c.Over, c.Refused = c.Taken+o.Taken, c.Over+o.Over, c.Refused+o.Refused
+	c.TakenUnits, c.OverUnits, c.RefusedUnits = c.TakenUnits+o.TakenUnits, c.OverUnits+o.OverUnits, c.RefusedUnits+o.RefusedUnits
+	c.Borrowed, c.Used = c.Borrowed+o.Borrowed, c.Used+o.Used
+	to.Level, to.Open = to.Level+a.Level, to.Open+a.Open
+}
+
+// put tells one team's figures; alone says that it is one team, with budgets.
+func put(ch chan<- prometheus.Metric, a *contract.Account, token float64, alone bool) {
+	count := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, v, append([]string{a.Team}, labels...)...)
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, append([]string{a.Team}, labels...)...)
+	}
+	c := &a.Count
+	for _, v := range []struct {
+		word  string
+		n     int64
+		units contract.Units
+	}{{"taken", c.Taken, c.TakenUnits}, {"over", c.Over, c.OverUnits}, {"refused", c.Refused, c.RefusedUnits}} {
+		count(requestsDesc, float64(v.n), v.word)
+		count(askedDesc, float64(v.units)/token, v.word)
+	}
+	count(usedDesc, float64(c.Used)/token)
+	count(borrowedDesc, float64(c.Borrowed)/token)
+	gauge(levelDesc, float64(a.Level)/token)
+	gauge(openDesc, float64(a.Open))
+	if !alone {
+		return
+	}
+	gauge(partDesc, a.Part)
+	for p := range a.Limit {
+		if a.Limit[p] > 0 {
+			word := contract.Period(p).String()
+			gauge(budgetDesc, float64(a.Used[p])/token, word)
+			gauge(limitDesc, float64(a.Limit[p])/token, word)
+		}
+	}
+}
--- a/internal/replay/drive_test.go
+++ b/internal/replay/drive_test.go
@@ -76,7 +76,7 @@
 
 // record puts a recorder before the module. The writer is closed by the caller.
 func (h *host) record(w *capture.Writer, o capture.Options) *capture.Recorder {
-	r := capture.Record(h.now, h.b, h, w, h.names(), o)
+	r := capture.Record(h.now, h.b, nil, h, w, h.names(), o)
 	h.m = r
 	return r
 }
--- a/internal/replay/filter.go
+++ b/internal/replay/filter.go
@@ -116,7 +116,7 @@
 
 func (s *subject) request() uint32 {
 	switch s.r.Kind {
-	case pb.Kind_KIND_ARRIVED, pb.Kind_KIND_FIRST, pb.Kind_KIND_ENDED, pb.Kind_KIND_LEFT:
+	case pb.Kind_KIND_ARRIVED, pb.Kind_KIND_FIRST, pb.Kind_KIND_ENDED, pb.Kind_KIND_LEFT, pb.Kind_KIND_CHARGED, pb.Kind_KIND_SETTLED, pb.Kind_KIND_TURNED:
 		return s.r.Request
 	case pb.Kind_KIND_TIMER:
 		_, id := choice.TimerPurpose(s.r.Token)
--- a/internal/replay/names.go
+++ b/internal/replay/names.go
@@ -8,6 +8,7 @@
 	"archknot/choice"
 	"archknot/internal/capture"
 	pb "archknot/internal/capture/capturepb"
+	"archknot/internal/contract"
 )
 
 // Names remembers who workers and requests are, as a capture tells it.
@@ -138,6 +139,28 @@
 		if s, err := capture.GetSettings(r.Settings); err == nil {
 			put("classes=%d tenants=%d attempts=%d", len(s.Classes), len(s.Tenants), s.MaxAttempts)
 		}
+	case pb.Kind_KIND_AGREED:
+		if a, err := contract.GetAgreed(r.Agreed); err == nil && len(r.Agreed) > 0 {
+			put("contracts=%d fresh=%t", len(a.Terms), a.Fresh)
+		} else {
+			put("contracts=0")
+		}
+	case pb.Kind_KIND_CHARGED:
+		c := r.Charged
+		put("request=%s copy=%d tenant=%s class=%s prompt=%d made=%d", n.Request(r.Request), c.GetCopy(), c.GetTenant(), c.GetClass(), c.GetPromptTokens(), c.GetMade())
+		if c.GetRefuse() {
+			put("refuse=%s retry_after=%v", c.GetReason(), micros(c.GetRetryAfterUs()))
+		} else {
+			put("worth=%v", c.GetWorth())
+		}
+	case pb.Kind_KIND_SETTLED:
+		put("request=%s copy=%d read=%d made=%d served=%t", n.Request(r.Request), r.Settled.GetCopy(), r.Settled.GetRead(), r.Settled.GetMade(), r.Settled.GetServed())
+	case pb.Kind_KIND_TURNED:
+		put("request=%s tenant=%s over=%t", n.Request(r.Request), r.Turned.GetTenant(), r.Turned.GetOver())
+	case pb.Kind_KIND_PARTS:
+		put("parts=%.4g", r.Parts)
+	case pb.Kind_KIND_KEPT:
+		put("checkpoint=%d %s", r.Kept.GetNumber(), [...]string{"handed over", "written", "failed"}[min(r.Kept.GetStage(), 2)])
 	case pb.Kind_KIND_CHECKPOINT:
 		c := r.Checkpoint
 		put("bytes=%d timers=%d", len(c.GetState()), len(c.GetTimers()))
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -18,6 +18,7 @@
 	"archknot/choice"
 	"archknot/internal/capture"
 	pb "archknot/internal/capture/capturepb"
+	"archknot/internal/contract/contractpb"
 )
 
 // Options of a replay.
@@ -84,6 +85,7 @@
 	KindProbe    = "probe"    // probes
 	KindCut      = "cut"      // when an attempt is cut off
 	KindRegistry = "registry" // asking the registry, telling peers
+	KindContract = "contract" // what a contract allows a request, or its copy
 	KindState    = "state"    // the state at a checkpoint, where no decision differed
 )
 
@@ -100,6 +102,7 @@
 	ByKind      map[string]uint64 `json:"by_kind,omitempty"`
 	ByClass     map[string]uint64 `json:"by_class,omitempty"`
 	ByWorker    map[string]uint64 `json:"by_worker,omitempty"`
+	Verdicts    uint64            `json:"verdicts"`              // of contracts, compared
 	Decisions   uint64            `json:"decisions"`             // picks, admissions and further attempts compared
 	Differences string            `json:"differences,omitempty"` // digest of all of them; "" if there are none
 }
@@ -111,12 +114,13 @@
 
 // player replays one run.
 type player struct {
-	run   *capture.Run
-	o     *Options
-	res   *Result
-	names *Names
-	sum   *xxhash.Digest
-	b     *choice.Balancer // nil: waiting for a checkpoint
+	run    *capture.Run
+	o      *Options
+	res    *Result
+	names  *Names
+	sum    *xxhash.Digest
+	b      *choice.Balancer // nil: waiting for a checkpoint
+	ledger *capture.Ledger  // the contracts' book beside it
 
 	now     choice.Micros
 	number  uint64
@@ -192,6 +196,9 @@
 		p.res.Skipped++
 		return nil
 	}
+	if capture.OfBook(e.Record.Kind) {
+		return p.bookEvent()
+	}
 	return p.event()
 }
 
@@ -204,24 +211,52 @@
 	}
 	if p.b != nil {
 		own := p.b.Snapshot()
-		if bytes.Equal(own, c.State) && !p.o.Restart {
+		same, sameBook := bytes.Equal(own, c.State), bytes.Equal(p.ledger.Snapshot(), c.Book)
+		if same && sameBook && !p.o.Restart {
 			p.adrift = false
 			return nil
 		}
-		if !p.adrift && !bytes.Equal(own, c.State) {
+		if !p.adrift && !same {
 			p.differ(KindState, 0, 0, unlike(own, c.State), "", nil)
 			p.settle(nil, false)
 		}
+		if !p.adrift && !sameBook {
+			p.differ(KindContract, 0, 0, unlikeBook(p.ledger.Snapshot(), c.Book), "", nil)
+			p.settle(nil, false)
+		}
 	}
 	b, _, err := p.run.Restore(c, p)
 	if err != nil {
 		return err
 	}
+	if p.ledger, err = capture.RestoreLedger(c); err != nil {
+		return err
+	}
 	b.SetJudge(p)
 	p.b, p.adrift = b, false
 	return nil
 }
 
+// bookEvent has the book of contracts do an event again and compares its verdict.
+func (p *player) bookEvent() error {
+	own, recorded, err := p.ledger.Apply(p.now, p.rec)
+	if err != nil {
+		return err
+	}
+	if own != recorded {
+		p.differ(KindContract, p.rec.Request, 0, own, recorded, nil)
+	}
+	if p.rec.Kind == pb.Kind_KIND_CHARGED {
+		p.res.Verdicts++
+	}
+	p.res.Events++
+	p.digest(nil)
+	p.buf = append(p.buf[:0], own...)
+	p.sum.Write(p.buf)
+	p.settle(nil, true)
+	return nil
+}
+
 // event tells the module one event and compares what it orders.
 func (p *player) event() error {
 	rec := p.rec
@@ -494,6 +529,18 @@
 	return "the states differ"
 }
 
+// unlikeBook names the first field in which the books of two checkpoints differ.
+func unlikeBook(own, recorded []byte) string {
+	var a, b contractpb.Book
+	if err := errors.Join(proto.Unmarshal(own, &a), proto.Unmarshal(recorded, &b)); err != nil {
+		return err.Error()
+	}
+	if at := firstUnlike(a.ProtoReflect(), b.ProtoReflect()); at != "" {
+		return "the book differs at " + at
+	}
+	return "the books differ"
+}
+
 func firstUnlike(a, b protoreflect.Message) string {
 	fields := a.Descriptor().Fields()
 	for i := range fields.Len() {
@@ -508,6 +555,12 @@
 				return fmt.Sprintf("%s: %d entries, recorded %d", f.Name(), x.List().Len(), y.List().Len())
 			}
 			for j := range x.List().Len() {
+				if f.Message() == nil {
+					if !x.List().Get(j).Equal(y.List().Get(j)) {
+						return fmt.Sprintf("%s[%d]: %v, recorded %v", f.Name(), j, x.List().Get(j), y.List().Get(j))
+					}
+					continue
+				}
 				if at := firstUnlike(x.List().Get(j).Message(), y.List().Get(j).Message()); at != "" {
 					return fmt.Sprintf("%s[%d].%s", f.Name(), j, at)
 				}
--- a/internal/revision/config.go
+++ b/internal/revision/config.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"archknot/choice"
+	"archknot/internal/contract"
 )
 
 // Type names a kind of resources. The stream's type URLs end with it.
@@ -32,10 +33,11 @@
 	TypeWorker      Type = "Worker"
 	TypeCapture     Type = "Capture"
 	TypeLog         Type = "Log"
+	TypeContract    Type = "Contract" // of a team: an archknot.contract.v1.Terms
 )
 
 // Types are all kinds, in the order in which they are asked for.
-var Types = []Type{TypeVersion, TypeClass, TypeTenant, TypeAttempts, TypeAdmission, TypeConnections, TypeWatch, TypeWorker, TypeCapture, TypeLog}
+var Types = []Type{TypeVersion, TypeClass, TypeTenant, TypeAttempts, TypeAdmission, TypeConnections, TypeWatch, TypeWorker, TypeCapture, TypeLog, TypeContract}
 
 // Number is a version's number; a higher one is newer. 0 is the files' own.
 type Number uint64
@@ -46,7 +48,7 @@
 	Number Number
 	Stage  Stage
 
-	HasClasses, HasTenants, HasWorkers bool
+	HasClasses, HasTenants, HasWorkers, HasContracts bool
 
 	Classes     []choice.Class
 	Tenants     []Tenant
@@ -57,6 +59,7 @@
 	Watch       *Watch
 	Capture     *Capture
 	Log         *Log
+	Contracts   []contract.Terms
 
 	// Resources are the messages that say all this, as they came, for the store.
 	Resources map[Type][][]byte
@@ -142,11 +145,14 @@
 	MostWorkers  int
 	LongestSpan  choice.Micros // of any time a version names
 	MostHeldOver int           // requests in hand, at most
+
+	MostContracts int
 }
 
 // DefaultLimits fill in what the platform does not say.
 var DefaultLimits = Limits{MaxAttempts: 3, Sockets: 1024, AskWithin: 10_000_000, StopSending: 2_500_000, MostClasses: 64,
-	MostTenants: 10_000, MostWorkers: 10_000, LongestSpan: 3_600_000_000, MostHeldOver: 20_000}
+	MostTenants: 10_000, MostWorkers: 10_000, LongestSpan: 3_600_000_000, MostHeldOver: 20_000,
+	MostContracts: 10_000}
 
 // Refusal is one reason why a version is not taken.
 type Refusal struct {
@@ -203,6 +209,14 @@
 	checkClasses(c, l, &r, span)
 	checkTenants(c, l, &r)
 	checkWorkers(c, l, &r)
+	if c.HasContracts {
+		if len(c.Contracts) > l.MostContracts {
+			r.add(TypeContract, "", "", "expected at most %d, got %d", l.MostContracts, len(c.Contracts))
+		}
+		if err := contract.Check(c.Contracts); err != nil {
+			r.add(TypeContract, "", "", "%v", err)
+		}
+	}
 	if a := c.Attempts; a != nil && (a.Most < 1 || a.Most > l.MaxAttempts) {
 		r.add(TypeAttempts, "", "most", "expected 1 to %d, got %d", l.MaxAttempts, a.Most)
 	}
@@ -328,9 +342,10 @@
 	Watch    Watch           // in force
 	Clients  int             // client connections open
 	Workers  map[string]WorkerState
-	InHand   map[string]InHand // by class
-	Held     int               // requests in hand
-	Tenants  map[string]int    // requests in hand by tenant
+	InHand   map[string]InHand  // by class
+	Held     int                // requests in hand
+	Tenants  map[string]int     // requests in hand by tenant
+	Accounts []contract.Account // the books of the contracts in force
 }
 
 // WorkerState is a worker as the registry and earlier marks have it.
@@ -387,6 +402,9 @@
 			}
 		}
 	}
+	if c.HasContracts {
+		checkBudgets(c, p, &r)
+	}
 	// The drain rule, by the worker's own route and by the registry's.
 	if c.HasWorkers {
 		for _, w := range c.Workers {
@@ -422,6 +440,30 @@
 	return r
 }
 
+// checkBudgets refuses a hard limit put below what a team that is within its limit
+// has used already: all of its next requests would be refused from that moment on.
+// A team that is to be refused has its contract end.
+func checkBudgets(c *Config, p *Present, r *Refusals) {
+	by := map[string]*contract.Account{}
+	for i := range p.Accounts {
+		by[p.Accounts[i].Team] = &p.Accounts[i]
+	}
+	for i := range c.Contracts {
+		t := &c.Contracts[i]
+		a := by[t.Team]
+		if a == nil {
+			continue
+		}
+		for _, g := range t.Budgets {
+			used, was := a.Used[g.Period], a.Limit[g.Period]
+			if g.Hard > 0 && g.Hard < used && (was == 0 || used < was) {
+				r.add(TypeContract, t.Team, "budgets", "by %s: %d is below the %d used already, of %d: all of its requests would be refused", g.Period,
+					g.Hard/contract.Token, used/contract.Token, was/contract.Token)
+			}
+		}
+	}
+}
+
 // servingAfter counts the workers that would take work.
 func servingAfter(c *Config, p *Present) (n int) {
 	drained := map[string]bool{}
--- a/internal/revision/configpb/generate.go
+++ b/internal/revision/configpb/generate.go
@@ -1,4 +1,4 @@
 // Package configpb has the messages of a streamed configuration.
 package configpb
 
-//go:generate protoc -I . --go_out=../../.. --go_opt=module=archknot config.proto
+//go:generate protoc -I . -I ../../contract/contractpb --go_out=../../.. --go_opt=module=archknot config.proto
