--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -159,18 +159,26 @@
 	return nil
 }
 
-// shares are the deployment's quotas as contracts: a request counts as one, and a
-// second's worth may be saved up. Each instance holds an equal part.
+// shares are the deployment's quotas as contracts: a request counts as one. As the
+// module's own rule has it, a tenant that lately asked for a quarter more than its
+// quota is beyond it with all it sends. Each instance holds an equal part.
 func shares(ev *wire.Event) (*contract.Book, error) {
 	s := &ev.Settings
 	var terms []contract.Terms
+	var parts []float64
 	for _, t := range s.Tenants {
 		if t.QuotaPerS > 0 {
-			rate := t.QuotaPerS * float64(contract.Token) / float64(max(1, s.Gateways))
-			terms = append(terms, contract.Terms{Team: t.Name, Tenants: []string{t.Name}, Rate: rate, Burst: contract.Units(max(1, rate)), Over: s.OverShareWorth})
+			rate := 1.25 * t.QuotaPerS * float64(contract.Token)
+			terms = append(terms, contract.Terms{Team: t.Name, Tenants: []string{t.Name}, Rate: rate, Burst: contract.Units(max(1, 8*rate)),
+				Over: s.OverShareWorth, Surge: 1})
+			parts = append(parts, 1/float64(max(1, s.Gateways)))
 		}
 	}
-	return contract.New(contract.Settings{Pool: 1, Unknown: 1}, terms, ev.Now, 0)
+	b, err := contract.New(contract.Settings{Unknown: 1}, terms, ev.Now, 0)
+	if err == nil {
+		b.SetParts(ev.Now, parts)
+	}
+	return b, err
 }
 
 // agreed has the contract tell the worth that a request competes with.
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -51,6 +51,7 @@
 tenants next
 rate 1
 borrow none
+surge 1.25
 from 2027-07-01T00:00:00+10:00
 [contract island-tax]
 until 2027-07-01T00:00:00+10:00
@@ -69,7 +70,7 @@
 		Prices: map[string]contract.Price{"agent": {Read: 1, Made: 2.5}, "chat": {Read: 1, Made: 1}}, Floors: map[string]float64{"agent": 3e5},
 		Budgets: []contract.Budget{{Period: contract.Hour, Hard: 1e9}, {Period: contract.Quarter, Soft: 5e6, Hard: 9e6}},
 		Until:   time.Date(2027, 6, 30, 14, 0, 0, 0, time.UTC).UnixMicro(), Borrow: 5e4, Successor: "next"},
-		{Team: "next", Tenants: []string{"next"}, Rate: 1e3, Over: 0.05, NoBorrow: true, From: time.Date(2027, 6, 30, 14, 0, 0, 0, time.UTC).UnixMicro()}}
+		{Team: "next", Tenants: []string{"next"}, Rate: 1e3, Over: 0.05, NoBorrow: true, Surge: 1.25, From: time.Date(2027, 6, 30, 14, 0, 0, 0, time.UTC).UnixMicro()}}
 	if diff := cmp.Diff(want, c); diff != "" {
 		t.Error(diff)
 	}
--- a/internal/conf/contract.go
+++ b/internal/conf/contract.go
@@ -46,7 +46,7 @@
 // contractKeys are what may stand in a [contract TEAM] section. Those in repeats
 // may stand more than once.
 var (
-	contractKeys    = []string{"tenants", "classes", "rate", "burst", "worth", "over", "hard", "price", "floor", "budget", "from", "until", "successor", "borrow"}
+	contractKeys    = []string{"tenants", "classes", "rate", "burst", "worth", "over", "hard", "price", "floor", "budget", "from", "until", "successor", "borrow", "surge"}
 	contractRepeats = []string{"price", "floor", "budget"}
 )
 
@@ -103,6 +103,8 @@
 		return number(&t.Worth)
 	case "over":
 		return number(&t.Over)
+	case "surge":
+		return number(&t.Surge)
 	case "hard":
 		if err := need(1, "on or off"); err != nil {
 			return err
@@ -259,6 +261,9 @@
 	case t.Borrow > 0:
 		fmt.Fprintf(&b, "borrow %s\n", number(t.Borrow/token))
 	}
+	if t.Surge > 0 {
+		fmt.Fprintf(&b, "surge %s\n", number(t.Surge))
+	}
 	if t.Successor != "" {
 		fmt.Fprintf(&b, "successor %s\n", quote([]string{t.Successor}))
 	}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -42,8 +42,12 @@
 	// Successor is the contract that takes this one's place at Until: it goes on
 	// with the level, and with what was used in the periods at hand.
 	Successor string
-	NoBorrow  bool    // nothing of what others leave idle
-	Borrow    float64 // or at most so many units a second; 0: no bound
+	// Surge, where above 0: a team that lately asked for more than so many times its
+	// rate competes beyond it with all that it sends, floors apart, not only with
+	// what is too much.
+	Surge    float64
+	NoBorrow bool    // nothing of what others leave idle
+	Borrow   float64 // or at most so many units a second; 0: no bound
 }
 
 // Budget is what may be used in a period.
@@ -169,6 +173,8 @@
 	at        choice.Micros // it has earned up to then
 	level     float64       // units saved up; below 0: owed
 	floors    map[string]float64
+	asking    float64 // units a second, lately
+	askedAt   choice.Micros
 	mayBorrow float64 // units of its bound on borrowing, up to a second's
 	part      float64 // of the contract that is this gateway's: 1 where it is alone
 	spans     [periods]span
@@ -242,6 +248,9 @@
 				return bad("name %q: expected UTF-8, at most %d bytes", word, maxName)
 			}
 		}
+		if !(t.Surge >= 0) {
+			return bad("surge: expected 0 or more")
+		}
 		if !(t.Borrow >= 0) {
 			return bad("borrow: expected 0 or more")
 		}
@@ -604,7 +613,9 @@
 	}
 	fromFloor := math.Min(math.Max(0, a.floors[class]), float64(cost))
 	rest, beyond := float64(cost)-fromFloor, false
-	if rest > math.Max(0, a.level) {
+	if a.surges(b.at, cost) && rest > 0 {
+		v.Worth, v.Over, fromFloor, rest, beyond = a.t.Over, true, 0, 0, true
+	} else if rest > math.Max(0, a.level) {
 		// Beyond what it has: from what idle shares left, or beyond the rate.
 		short := rest - math.Max(0, a.level)
 		if short <= b.pool && !a.t.NoBorrow && (a.t.Borrow == 0 || short <= a.mayBorrow) {
@@ -646,6 +657,21 @@
 	return v
 }
 
+// surgeSpan is the time over which it is told what a team asks for, in seconds.
+const surgeSpan = 8.0
+
+// surges notes what is asked for, and tells whether it is lately too much.
+func (a *account) surges(now choice.Micros, cost Units) bool {
+	if a.t.Surge <= 0 {
+		return false
+	}
+	a.asking *= math.Exp(-float64(now-a.askedAt) / 1e6 / surgeSpan)
+	a.askedAt = now
+	over := a.asking > a.t.Surge*a.t.Rate*a.part
+	a.asking += float64(cost) / surgeSpan
+	return over
+}
+
 // notKeptWait is when a strict book expects the store to have caught up.
 const notKeptWait choice.Micros = 1_000_000
 
--- a/internal/contract/state.go
+++ b/internal/contract/state.go
@@ -19,7 +19,7 @@
 // Put is a contract in the form of captures, of the store and of a stream.
 func (t *Terms) Put() *pb.Terms {
 	out := &pb.Terms{Team: t.Team, Tenants: t.Tenants, Classes: t.Classes, Rate: t.Rate, Burst: t.Burst, Worth: t.Worth, Over: t.Over,
-		Hard: t.Hard, FromUs: t.From, UntilUs: t.Until, Successor: t.Successor, NoBorrow: t.NoBorrow, Borrow: t.Borrow}
+		Hard: t.Hard, FromUs: t.From, UntilUs: t.Until, Successor: t.Successor, NoBorrow: t.NoBorrow, Borrow: t.Borrow, Surge: t.Surge}
 	for _, class := range slices.Sorted(maps.Keys(t.Prices)) {
 		out.Prices = append(out.Prices, &pb.Terms_Price{Class: class, Read: t.Prices[class].Read, Made: t.Prices[class].Made})
 	}
@@ -36,7 +36,7 @@
 func GetTerms(m *pb.Terms) Terms {
 	t := Terms{Team: m.GetTeam(), Tenants: m.GetTenants(), Classes: m.GetClasses(), Rate: m.GetRate(), Burst: m.GetBurst(), Worth: m.GetWorth(),
 		Over: m.GetOver(), Hard: m.GetHard(), From: m.GetFromUs(), Until: m.GetUntilUs(), Successor: m.GetSuccessor(), NoBorrow: m.GetNoBorrow(),
-		Borrow: m.GetBorrow()}
+		Borrow: m.GetBorrow(), Surge: m.GetSurge()}
 	for _, p := range m.GetPrices() {
 		if t.Prices == nil {
 			t.Prices = map[string]Price{}
@@ -129,7 +129,7 @@
 	for _, a := range b.accounts {
 		o := &pb.Book_Account{AtUs: a.at, Level: a.level, Open: int64(a.open), MayBorrow: a.mayBorrow, Part: a.part, Renewed: a.renewed,
 			Taken: a.count.Taken, Over: a.count.Over, Refused: a.count.Refused, TakenUnits: a.count.TakenUnits, OverUnits: a.count.OverUnits,
-			RefusedUnits: a.count.RefusedUnits, Borrowed: a.count.Borrowed, Used: a.count.Used, Waits: a.waits, WantsUs: a.wants}
+			RefusedUnits: a.count.RefusedUnits, Borrowed: a.count.Borrowed, Used: a.count.Used, Waits: a.waits, WantsUs: a.wants, Asking: a.asking, AskedUs: a.askedAt}
 		for _, class := range slices.Sorted(maps.Keys(a.floors)) {
 			o.Floors = append(o.Floors, &pb.Book_Level{Class: class, Level: a.floors[class]})
 		}
@@ -179,7 +179,7 @@
 		a := b.accounts[i]
 		a.at, a.level, a.open, a.mayBorrow, a.part, a.renewed = o.AtUs, o.Level, int(o.Open), o.MayBorrow, o.Part, o.Renewed
 		a.count = Count{o.Taken, o.Over, o.Refused, o.TakenUnits, o.OverUnits, o.RefusedUnits, o.Borrowed, o.Used}
-		a.wants = o.WantsUs
+		a.wants, a.asking, a.askedAt = o.WantsUs, o.Asking, o.AskedUs
 		if a.waits = o.Waits; a.waits {
 			b.due = append(b.due, a)
 		}
--- a/internal/contract/state_test.go
+++ b/internal/contract/state_test.go
@@ -67,7 +67,7 @@
 	a, b, old, heir := team("a", rate), team("b", 500), team("old", 800), team("new", 900)
 	a.Floors = map[string]float64{"agent": 100 * float64(Token)}
 	a.Budgets = []Budget{{Hour, 20_000 * Token, 40_000 * Token}, {Day, 0, 900_000 * Token}}
-	b.Hard, b.Borrow = true, 50*float64(Token)
+	b.Hard, b.Borrow, b.Surge = true, 50*float64(Token), 1.5
 	b.Prices = map[string]Price{"bulk": {0.5, 3}}
 	old.Until, old.Successor = start+30*sec, "new"
 	old.Budgets, heir.Budgets = []Budget{{Quarter, 0, 50_000 * Token}}, []Budget{{Quarter, 0, 60_000 * Token}}
@@ -238,6 +238,26 @@
 	}
 }
 
+// A team that surges competes beyond its rate with all it sends but its floors; one
+// that keeps to its rate does not.
+func TestSurge(t *testing.T) {
+	a := team("a", 1000)
+	a.Surge, a.Floors = 1.25, map[string]float64{"agent": 100 * float64(Token)}
+	b := book(t, a)
+	bulk, agent := &load{tenant: "a", class: "bulk", perS: 900, each: 30}, &load{tenant: "a", class: "agent", perS: 90, each: 30}
+	play(b, sec, 20, bulk, agent)
+	if bulk.over+agent.over > 0 {
+		t.Errorf("within its rate %d and %d tokens competed beyond it", bulk.over, agent.over)
+	}
+	bulk.perS = 4000
+	play(b, 21*sec, 20, bulk, agent)
+	bulk.full, agent.over = 0, 0
+	play(b, 41*sec, 10, bulk, agent)
+	if bulk.full > 0 || agent.over > 0 {
+		t.Errorf("in a surge %d tokens competed in full, and %d of the floor beyond", bulk.full, agent.over)
+	}
+}
+
 // What may be borrowed is bounded where the contract says so.
 func TestBorrowing(t *testing.T) {
 	for _, x := range []struct {
