--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,6 +28,7 @@
 	Contracts  contractsCmd  `cmd:"" help:"Look at teams' contracts, and try them on captures."`
 	Replay     replayCmd     `cmd:"" help:"Run captures through this build's module and compare its decisions."`
 	Experiment experimentCmd `cmd:"" help:"Compare settings or builds on a model of a fleet."`
+	Fleet      fleetCmd      `cmd:"" help:"Run a fleet to try gateways with."`
 	Version    versionCmd    `cmd:"" help:"Tell which build this is."`
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -125,6 +125,8 @@
 		{"experiment gate --figure attempts_a_request --bound 0.0001 --base one " + results, No, "may be worse"},
 		{"experiment gate --figure odd " + results, Wrong, "no figure"},
 		{"experiment one " + plan + " --variant one --seed 2", Good, `"first_ms"`},
+		{"fleet emulate " + plan + " --registry 0.0.0.0:0", Wrong, "loopback"},
+		{"fleet emulate " + plan + " --registry 127.0.0.1:0 --gateway 127.0.0.1:1 --settle 0s --workload odd", Wrong, "not in the plan"},
 		{"experiment one " + plan + " --variant none", Wrong, "there are base, one"},
 		{"contracts show x " + teams, Good, "successor all"},
 		{"contracts show nobody " + teams, No, "no contract"},
@@ -150,7 +152,7 @@
 func TestHelpHasExamples(t *testing.T) {
 	for _, c := range []string{"serve", "config check", "config show", "config diff", "config status", "config history", "config rollback", "capture info", "capture verify", "capture dump", "capture cut",
 		"capture explain", "capture save", "replay", "version", "contracts list", "contracts show", "contracts simulate", "contracts report", "experiment run",
-		"experiment report", "experiment gate", "experiment one"} {
+		"experiment report", "experiment gate", "experiment one", "fleet emulate"} {
 		if code, out, _ := run(append(strings.Fields(c), "--help")...); code != Good || !strings.Contains(out, "Example") {
 			t.Errorf("%s: %d\n%s", c, code, out)
 		}
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"slices"
 	"strings"
 	"syscall"
 	"text/tabwriter"
@@ -208,25 +207,11 @@
 	if err != nil {
 		return err
 	}
-	pick := func(list []conf.Variant, name string) (conf.Variant, error) {
-		i := 0
-		if name != "" {
-			i = slices.IndexFunc(list, func(v conf.Variant) bool { return v.Name == name })
-		}
-		if i < 0 {
-			var names []string
-			for _, v := range list {
-				names = append(names, v.Name)
-			}
-			return conf.Variant{}, fmt.Errorf("%q: not in the plan; there are %s", name, strings.Join(names, ", "))
-		}
-		return list[i], nil
-	}
-	v, err := pick(p.Variants, c.Variant)
+	v, err := pickVariant(p.Variants, c.Variant)
 	if err != nil {
 		return err
 	}
-	w, err := pick(p.Workloads, c.Workload)
+	w, err := pickVariant(p.Workloads, c.Workload)
 	if err != nil {
 		return err
 	}
@@ -242,3 +227,18 @@
 	_, err = fmt.Fprintf(s.out, "%s\n", res.Text())
 	return err
 }
+
+// pickVariant finds a variant, or a workload, by its name; "" is the first.
+func pickVariant(list []conf.Variant, name string) (conf.Variant, error) {
+	if name == "" {
+		return list[0], nil
+	}
+	var names []string
+	for _, v := range list {
+		if v.Name == name {
+			return v, nil
+		}
+		names = append(names, v.Name)
+	}
+	return conf.Variant{}, fmt.Errorf("%q: not in the plan; there are %s", name, strings.Join(names, ", "))
+}
--- a/internal/fleet/emulate/clients.go
+++ b/internal/fleet/emulate/clients.go
@@ -119,29 +119,39 @@
 	s := &p.spec.Streams[i]
 	class := p.spec.ClassOf(s)
 	arrivals := model.NewSource(s, rand.New(rand.NewPCG(p.spec.Seed, uint64(i)*2)))
-	next := p.now()
-	for n := uint64(1); ; n++ {
-		next += arrivals.Gap(p.factor("burst", 1))
-		if !sleep(ctx, next-p.now()) {
-			return
-		}
+	n := uint64(0)
+	begin := func(session *model.Session, after choice.Micros) {
+		n++
 		// Each session draws by itself: how quickly others were served changes nothing.
 		from := model.NewSource(s, rand.New(rand.NewPCG(p.spec.Seed^n<<20, uint64(i)*2+1)))
-		session := arrivals.Session(p.factor("hot", 0))
+		front := rand.New(rand.NewPCG(p.spec.Seed+n, 77))
 		select {
 		case p.slots <- struct{}{}:
 		default:
 			p.mu.Lock()
 			p.left++
 			p.mu.Unlock()
-			continue
+			return
 		}
 		p.all.Add(1)
 		go func() {
 			defer func() { <-p.slots; p.all.Done() }()
-			p.session(ctx, s, class, from, session, rand.New(rand.NewPCG(p.spec.Seed+n, 77)))
+			if sleep(ctx, after) {
+				p.session(ctx, s, class, from, session, front)
+			}
 		}()
 	}
+	list, in := arrivals.UnderWay()
+	for i, session := range list {
+		begin(session, in[i])
+	}
+	for next := p.now(); ; {
+		next += arrivals.Gap(p.factor("burst", 1))
+		if !sleep(ctx, next-p.now()) {
+			return
+		}
+		begin(arrivals.Session(p.factor("hot", 0)), 0)
+	}
 }
 
 // session is one client's turns.
--- a/internal/fleet/emulate/emulate_test.go
+++ b/internal/fleet/emulate/emulate_test.go
@@ -81,6 +81,11 @@
 		if left > 0 || res.All.Sent < 60 || ends != res.All.Sent || float64(res.All.Ends["served"]) < x.least*float64(res.All.Sent) {
 			t.Errorf("%s: left out %d, sent %d: %v", x.name, left, res.All.Sent, res.All.Ends)
 		}
+		m, err := model.Run(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s: the model: sent %d: %v, first token p95 %.0f ms", x.name, m.All.Sent, m.All.Ends, m.All.FirstMs["p95"])
 		t.Logf("%s: sent %d: %v, first token p95 %.0f ms", x.name, res.All.Sent, res.All.Ends, res.All.FirstMs["p95"])
 	}
 	if _, err := Start(spec(), "0.0.0.0:0"); err == nil || !strings.Contains(err.Error(), "loopback") {
--- a/internal/fleet/model/clients.go
+++ b/internal/fleet/model/clients.go
@@ -61,6 +61,22 @@
 	return n
 }
 
+// UnderWay are sessions that are between two turns when a run begins, with the time
+// to the next: as many as there are in the long run, so that the stream's rate is
+// reached at once. What the turns before took at workers is left out.
+func (c *Source) UnderWay() (list []*Session, in []choice.Micros) {
+	think := c.s.Think * math.Exp(c.s.Spread*c.s.Spread/2) // the mean
+	for n := c.s.PerS / c.s.Turns * (c.s.Turns - 1) * think; n > 0 && (n >= 1 || c.rng.Float64() < n); n-- {
+		// Turns are geometric: those to come are as many as of a session that begins.
+		s := c.Session(0)
+		for more := true; more; more = c.rng.Float64() > 1/c.s.Turns {
+			s.context += int(c.s.Prompt + c.s.Answer)
+		}
+		list, in = append(list, s), append(in, choice.Micros(c.rng.Float64()*think*1e6))
+	}
+	return list, in
+}
+
 // Turn draws a session's next request, and how many tokens it will make.
 func (c *Source) Turn(n *Session) (in choice.Request, out int) {
 	n.Left--
@@ -119,6 +135,10 @@
 	s := &x.s.Streams[i]
 	t := &traffic{x: x, s: s, class: x.s.ClassOf(s), from: NewSource(s, x.e.Rand("stream"+string(rune('0'+i))+s.Class+s.Tenant))}
 	x.traffic = append(x.traffic, t)
+	list, in := t.from.UnderWay()
+	for i, n := range list {
+		x.e.After(in[i], func(now choice.Micros) { t.turn(now, n) })
+	}
 	t.next()
 }
 
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -62,6 +62,8 @@
 	"drain":    "the worker drains, and is ready again after For",
 	"silent":   "the worker takes requests and answers nothing",
 	"flush":    "what the worker keeps of prompts is forgotten",
+	"reset":    "answers break off after two tokens (the emulator alone)",
+	"spoil":    "answers cannot be read after two tokens (the emulator alone)",
 	"registry": "the registry does not answer",
 	"burst":    "arrivals come Factor times as often",
 	"hot":      "a part of Factor of all requests share one beginning",
