Read over: one piece each for uses, timers, questions to the loop, lines of settings

What was written twice has one place: what a charge used (gateway, trial, model), timers that are set (adapter, model), questions to the loop, keys of plans and settings, contracts' lines in both, files that are whole or not there, bounded ends. Difference kept its interval twice.

--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -75,7 +75,7 @@
 	sink := h.enc.Sink(ev.Instance)
 	n := &node{}
 	if h.capture != "" {
-		n.timers = &timers{Sink: sink, at: map[uint64][]choice.Micros{}}
+		n.timers = &timers{Sink: sink, set: capture.Timers{}}
 		sink = n.timers
 	}
 	b, err := choice.New(ev.Settings, ev.Seed, sink)
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.recorder = capture.Record(ev.Now, b, nil, sink, n.writer, capture.Host{Timers: n.timers.pending},
+	n.recorder = capture.Record(ev.Now, b, nil, sink, n.writer, capture.Host{Timers: n.timers.set.Pending},
 		capture.Options{Checkpoint: 5 * time.Second, Block: 64 << 10, Flush: time.Minute, SegmentSize: 64 << 20, SegmentAge: time.Hour})
 	n.Module = n.recorder
 	return n, nil
@@ -142,7 +142,7 @@
 		n.RequestArrived(ev.Now, ev.Request)
 	case wire.Timer:
 		if n.timers != nil {
-			n.timers.fired(ev.Token)
+			n.timers.set.Fired(ev.Token)
 		}
 		n.TimerFired(ev.Now, ev.Token)
 	case wire.Probed:
@@ -203,27 +203,10 @@
 type timers struct {
 	choice.Sink
 	now choice.Micros
-	at  map[uint64][]choice.Micros // by token, in the order they were set
+	set capture.Timers
 }
 
 func (t *timers) SetTimer(delay choice.Micros, token uint64) {
-	t.at[token] = append(t.at[token], t.now+delay)
+	t.set.Set(t.now+delay, token)
 	t.Sink.SetTimer(delay, token)
 }
-
-func (t *timers) fired(token uint64) {
-	if list := t.at[token]; len(list) > 1 {
-		t.at[token] = list[1:]
-	} else {
-		delete(t.at, token)
-	}
-}
-
-func (t *timers) pending() (out []capture.Timer) {
-	for token, list := range t.at {
-		for _, at := range list {
-			out = append(out, capture.Timer{At: at, Token: token})
-		}
-	}
-	return out
-}
--- a/internal/capture/recorder.go
+++ b/internal/capture/recorder.go
@@ -39,6 +39,32 @@
 	Token uint64
 }
 
+// Timers remembers those that are set, for a host that does not hold them itself:
+// by token, in the order they were set.
+type Timers map[uint64][]choice.Micros
+
+// Set enters one.
+func (t Timers) Set(at choice.Micros, token uint64) { t[token] = append(t[token], at) }
+
+// Fired takes out the one of a token that was set first.
+func (t Timers) Fired(token uint64) {
+	if list := t[token]; len(list) > 1 {
+		t[token] = list[1:]
+	} else {
+		delete(t, token)
+	}
+}
+
+// Pending lists them.
+func (t Timers) Pending() (out []Timer) {
+	for token, list := range t {
+		for _, at := range list {
+			out = append(out, Timer{At: at, Token: token})
+		}
+	}
+	return out
+}
+
 // Host tells what only the owner of the module knows. The recorder asks within
 // the calls of the owner.
 type Host struct {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"github.com/alecthomas/kong"
+	"github.com/google/renameio/v2"
 
 	"archknot/internal/build"
 	"archknot/internal/lifecycle"
@@ -95,6 +96,19 @@
 	return e.Encode(v)
 }
 
+// writeFile writes a file that is whole or not there.
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := renameio.NewPendingFile(path, renameio.WithPermissions(0o644))
+	if err != nil {
+		return err
+	}
+	defer f.Cleanup()
+	if err := write(f); err != nil {
+		return err
+	}
+	return f.CloseAtomicallyReplace()
+}
+
 type versionCmd struct {
 	JSON bool `name:"json" help:"Print JSON."`
 }
--- a/internal/cli/contracts.go
+++ b/internal/cli/contracts.go
@@ -3,15 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/dustin/go-humanize"
-	"github.com/google/renameio/v2"
 
 	"archknot/choice"
 	"archknot/internal/capture"
@@ -261,15 +260,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := renameio.NewPendingFile(c.Out, renameio.WithPermissions(os.FileMode(0o644)))
-	if err != nil {
-		return err
-	}
-	defer f.Cleanup()
-	if err := report.Write(f, list); err != nil {
-		return err
-	}
-	if err := f.CloseAtomicallyReplace(); err != nil {
+	if err := writeFile(c.Out, func(w io.Writer) error { return report.Write(w, list) }); err != nil {
 		return err
 	}
 	fmt.Fprintln(s.out, c.Out)
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -11,7 +11,6 @@
 	"syscall"
 	"text/tabwriter"
 
-	"github.com/google/renameio/v2"
 	"github.com/schollz/progressbar/v3"
 	"golang.org/x/term"
 
@@ -127,15 +126,7 @@
 		if f.path == "" {
 			continue
 		}
-		out, err := renameio.NewPendingFile(f.path, renameio.WithPermissions(0o644))
-		if err != nil {
-			return err
-		}
-		if err := f.write(out); err != nil {
-			out.Cleanup()
-			return err
-		}
-		if err := out.CloseAtomicallyReplace(); err != nil {
+		if err := writeFile(f.path, f.write); err != nil {
 			return err
 		}
 	}
--- a/internal/conf/contract.go
+++ b/internal/conf/contract.go
@@ -191,8 +191,8 @@
 	}
 }
 
-// contractEntry enters one line of a [contract TEAM] section.
-func (c *Config) contractEntry(r *reader, e entry, seen map[string]entry) {
+// entry enters one line of a [contract TEAM] section.
+func (c *Contracts) entry(r *reader, e entry, seen map[string]entry) {
 	if e.label == "" {
 		r.problem(e.file, e.sectionPos, "contract", "expected [contract TEAM]")
 		return
@@ -207,21 +207,13 @@
 		return
 	}
 	seen[full] = e
-	i := slices.IndexFunc(c.Contracts.Teams, func(t contract.Terms) bool { return t.Team == e.label })
+	i := slices.IndexFunc(c.Teams, func(t contract.Terms) bool { return t.Team == e.label })
 	if i < 0 {
-		i = len(c.Contracts.Teams)
-		c.Contracts.Teams = append(c.Contracts.Teams, contract.Terms{Team: e.label, Over: 0.05})
+		i = len(c.Teams)
+		c.Teams = append(c.Teams, contract.Terms{Team: e.label, Over: 0.05})
 	}
-	words := make([]string, len(e.set.Values))
-	for i, w := range e.set.Values {
-		words[i] = w.Text
-	}
-	if err := setContract(&c.Contracts.Teams[i], e.set.Key, words); err != nil {
-		pos := e.set.Pos
-		if len(e.set.Values) > 0 {
-			pos = e.set.Values[0].Pos
-		}
-		r.problem(e.file, pos, full, "%v", err)
+	if err := setContract(&c.Teams[i], e.set.Key, e.set.words()); err != nil {
+		r.problem(e.file, e.set.valuePos(), full, "%v", err)
 	}
 }
 
--- a/internal/conf/grammar.go
+++ b/internal/conf/grammar.go
@@ -37,6 +37,23 @@
 	Values []*word `parser:"@@*"`
 }
 
+// words are the values as they stand.
+func (s *setting) words() []string {
+	out := make([]string, len(s.Values))
+	for i, w := range s.Values {
+		out[i] = w.Text
+	}
+	return out
+}
+
+// valuePos is where the values begin, or the key if there are none.
+func (s *setting) valuePos() lexer.Position {
+	if len(s.Values) > 0 {
+		return s.Values[0].Pos
+	}
+	return s.Pos
+}
+
 type word struct {
 	Pos  lexer.Position
 	Text string `parser:"@(Word | String)"`
--- a/internal/conf/plan.go
+++ b/internal/conf/plan.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/alecthomas/participle/v2/lexer"
-
 	"archknot/choice"
 	"archknot/internal/contract"
 	"archknot/internal/fleet/model"
@@ -44,8 +42,8 @@
 			p.variant(&r, e)
 		case e.section == "run" && e.set.Key == "seeds":
 			k := count("seeds", &p.Seeds, "1", 1, 10_000, "")
-			if err := k.set(texts(e.set.Values)); err != nil {
-				r.problem(e.file, valuePos(e.set), "run.seeds", "%v", err)
+			if err := k.set(e.set.words()); err != nil {
+				r.problem(e.file, e.set.valuePos(), "run.seeds", "%v", err)
 			}
 		default:
 			p.base = append(p.base, e)
@@ -75,21 +73,6 @@
 	return p, nil
 }
 
-func texts(words []*word) []string {
-	out := make([]string, len(words))
-	for i, w := range words {
-		out[i] = w.Text
-	}
-	return out
-}
-
-func valuePos(s *setting) lexer.Position {
-	if len(s.Values) > 0 {
-		return s.Values[0].Pos
-	}
-	return s.Pos
-}
-
 // variant enters a line of a [variant NAME] or [workload NAME] section.
 func (p *Plan) variant(r *reader, e entry) {
 	list := &p.Variants
@@ -194,7 +177,6 @@
 	groups  []*model.Group
 	streams []*model.Stream
 	faults  []*model.Fault
-	teams   []*contract.Terms
 	book    Contracts
 	reports string
 }
@@ -208,7 +190,7 @@
 	at := strings.TrimSpace(e.section + " " + e.label)
 	full := at + "." + e.set.Key
 	if e.section == "contract" {
-		b.contract(e, full)
+		b.book.entry(b.r, e, b.seen)
 		return
 	}
 	keys, ok := b.keys[at]
@@ -233,84 +215,37 @@
 			}
 		}
 	}
-	i := slices.IndexFunc(keys, func(k key) bool { return k.name == e.set.Key })
-	if i < 0 {
-		var names []string
-		for _, k := range keys {
-			names = append(names, k.name)
-		}
-		b.r.problem(e.file, e.set.Pos, full, "unknown key%s", nearest(e.set.Key, names))
-		return
-	}
-	if was, twice := b.seen[full]; twice {
-		b.r.problem(e.file, e.set.Pos, full, "given already at %s:%d", was.file, was.set.Pos.Line)
-		return
-	}
-	b.seen[full] = e
-	if err := keys[i].set(texts(e.set.Values)); err != nil {
-		b.r.problem(e.file, valuePos(e.set), full, "%v", err)
-	}
-}
-
-func (b *binder) contract(e entry, full string) {
-	if !slices.Contains(contractKeys, e.set.Key) || e.label == "" {
-		b.r.problem(e.file, e.set.Pos, full, "unknown key%s", nearest(e.set.Key, contractKeys))
-		return
-	}
-	i := slices.IndexFunc(b.teams, func(t *contract.Terms) bool { return t.Team == e.label })
-	if i < 0 {
-		i = len(b.teams)
-		b.teams = append(b.teams, &contract.Terms{Team: e.label, Over: 0.05})
-	}
-	if err := setContract(b.teams[i], e.set.Key, texts(e.set.Values)); err != nil {
-		b.r.problem(e.file, valuePos(e.set), full, "%v", err)
-	}
+	b.r.assign(keys, e, full, b.seen)
 }
 
-// micros is a time on the module's clock.
-func micros(name string, to *choice.Micros, otherwise string, least, most time.Duration, doc string) key {
+// timed is a duration that is kept in another measure.
+func timed(name, otherwise string, least, most time.Duration, doc string, set func(time.Duration)) key {
 	var d time.Duration
 	k := duration(name, &d, otherwise, least, most, doc)
-	set := k.set
+	read := k.set
 	k.set = func(words []string) error {
-		err := set(words)
+		err := read(words)
 		if err == nil {
-			*to = d.Microseconds()
+			set(d)
 		}
 		return err
 	}
-	k.get = func() string { return showDuration(time.Duration(*to) * time.Microsecond) }
 	return k
 }
 
+// micros is a time on the module's clock.
+func micros(name string, to *choice.Micros, otherwise string, least, most time.Duration, doc string) key {
+	return timed(name, otherwise, least, most, doc, func(d time.Duration) { *to = d.Microseconds() })
+}
+
 // microsF is one in parts of a microsecond.
 func microsF(name string, to *float64, otherwise string, doc string) key {
-	var d time.Duration
-	k := duration(name, &d, otherwise, 0, time.Minute, doc)
-	set := k.set
-	k.set = func(words []string) error {
-		err := set(words)
-		if err == nil {
-			*to = float64(d.Nanoseconds()) / 1000
-		}
-		return err
-	}
-	return k
+	return timed(name, otherwise, 0, time.Minute, doc, func(d time.Duration) { *to = float64(d.Nanoseconds()) / 1000 })
 }
 
 // seconds is one in seconds.
 func seconds(name string, to *float64, otherwise, doc string) key {
-	var d time.Duration
-	k := duration(name, &d, otherwise, 0, 24*time.Hour, doc)
-	set := k.set
-	k.set = func(words []string) error {
-		err := set(words)
-		if err == nil {
-			*to = d.Seconds()
-		}
-		return err
-	}
-	return k
+	return timed(name, otherwise, 0, 24*time.Hour, doc, func(d time.Duration) { *to = d.Seconds() })
 }
 
 func text(name string, to *string, otherwise, doc string) key {
@@ -443,9 +378,7 @@
 	for _, f := range b.faults {
 		s.Faults = append(s.Faults, *f)
 	}
-	for _, t := range b.teams {
-		s.Contracts = append(s.Contracts, *t)
-	}
+	s.Contracts = b.book.Teams
 	if err := contract.Check(s.Contracts); err != nil {
 		b.r.problem(b.seen["run.for"].file, posNone, "", "%v", err)
 	}
--- a/internal/conf/schema.go
+++ b/internal/conf/schema.go
@@ -332,7 +332,7 @@
 		full := e.section + "." + e.set.Key
 		switch {
 		case e.section == "contract":
-			c.contractEntry(&r, e, seen)
+			c.Contracts.entry(&r, e, seen)
 			continue
 		case e.section == "":
 			r.problem(e.file, e.set.Pos, e.set.Key, "outside a section%s", whereKnown(groups, e.set.Key))
@@ -344,31 +344,7 @@
 			r.problem(e.file, e.sectionPos, e.section, "this section has no label")
 			continue
 		}
-		i := slices.IndexFunc(g.keys, func(k key) bool { return k.name == e.set.Key })
-		if i < 0 {
-			var names []string
-			for _, k := range g.keys {
-				names = append(names, k.name)
-			}
-			r.problem(e.file, e.set.Pos, full, "unknown key%s", nearest(e.set.Key, names))
-			continue
-		}
-		if was, twice := seen[full]; twice {
-			r.problem(e.file, e.set.Pos, full, "given already at %s:%d", was.file, was.set.Pos.Line)
-			continue
-		}
-		seen[full] = e
-		words := make([]string, len(e.set.Values))
-		for i, w := range e.set.Values {
-			words[i] = w.Text
-		}
-		if err := g.keys[i].set(words); err != nil {
-			pos := e.set.Pos
-			if len(e.set.Values) > 0 {
-				pos = e.set.Values[0].Pos
-			}
-			r.problem(e.file, pos, full, "%v", err)
-		}
+		r.assign(g.keys, e, full, seen)
 	}
 	if len(r.problems) == 0 {
 		c.together(&r, file, seen)
@@ -379,6 +355,28 @@
 	return c, nil
 }
 
+// assign enters one line under its key, or tells why it cannot be; full is the key's
+// whole name.
+func (r *reader) assign(keys []key, e entry, full string, seen map[string]entry) {
+	i := slices.IndexFunc(keys, func(k key) bool { return k.name == e.set.Key })
+	if i < 0 {
+		var names []string
+		for _, k := range keys {
+			names = append(names, k.name)
+		}
+		r.problem(e.file, e.set.Pos, full, "unknown key%s", nearest(e.set.Key, names))
+		return
+	}
+	if was, twice := seen[full]; twice {
+		r.problem(e.file, e.set.Pos, full, "given already at %s:%d", was.file, was.set.Pos.Line)
+		return
+	}
+	seen[full] = e
+	if err := keys[i].set(e.set.words()); err != nil {
+		r.problem(e.file, e.set.valuePos(), full, "%v", err)
+	}
+}
+
 // together checks what no key can tell by itself.
 func (c *Config) together(r *reader, file string, seen map[string]entry) {
 	at := func(key, format string, args ...any) {
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -111,6 +111,18 @@
 // Open tells whether something was charged that is not settled.
 func (c *Charge) Open() bool { return c.acct != nil }
 
+// Used is what a request, or a copy, used by how it ended: what never ran nothing,
+// and what may have run and told nothing its estimate.
+func (c *Charge) Used(s choice.Status, prompt, kept, tokens int) Use {
+	switch {
+	case s.NeverRan():
+		return Use{}
+	case s == choice.Served && tokens > 0:
+		return Use{max(0, prompt-kept), tokens}
+	}
+	return c.Thought
+}
+
 // Verdict is what a team's contract says of a request.
 type Verdict struct {
 	Refuse     bool
--- a/internal/contract/split/sim_test.go
+++ b/internal/contract/split/sim_test.go
@@ -53,7 +53,7 @@
 	return w
 }
 
-func play(n int, f front, make func(i int) Way, surge float64) (errs [2]float64) {
+func play(n int, f front, newWay func(i int) Way, surge float64) (errs [2]float64) {
 	rng := rand.New(rand.NewPCG(7, uint64(n)))
 	// Of each team's contract, in tokens a second: what many gateways are there for.
 	rate := float64(max(200, 10*n)) * each
@@ -68,14 +68,14 @@
 		if err != nil {
 			panic(err)
 		}
-		x.books, x.ways = append(x.books, b), append(x.ways, make(i))
+		x.books, x.ways = append(x.books, b), append(x.ways, newWay(i))
 		x.hand = append(x.hand, []float64{0, 0, 0})
 		x.last = append(x.last, []contract.Count{{}, {}, {}})
 	}
 	const seconds, surgeAt = 150, 60
-	worst, served := 0.0, [2]float64{}
+	served := [2]float64{}
 	for s := range seconds {
-		sent := make2(n)
+		sent := make([]float64, n)
 		for t := range teams {
 			want := 0.9 * rate
 			if s >= surgeAt { // the others use all that is theirs, so that nothing is to be lent
@@ -83,7 +83,7 @@
 					want = surge * rate
 				}
 			}
-			weights, sum := make1(n), 0.0
+			weights, sum := make([]float64, n), 0.0
 			for g := range n {
 				weights[g] = f(float64(s), t, g, n)
 				sum += weights[g]
@@ -139,7 +139,6 @@
 				case s >= surgeAt+20:
 					served[1] = math.Max(served[1], err)
 				}
-				worst = math.Max(worst, err)
 				x.full[t], x.asked[t] = 0, 0
 			}
 		}
@@ -147,9 +146,6 @@
 	return served
 }
 
-func make1(n int) []float64 { return make([]float64, n) }
-func make2(n int) []float64 { return make([]float64, n) }
-
 func poisson(r *rand.Rand, mean float64) int {
 	if mean > 200 {
 		return max(0, int(math.Round(mean+math.Sqrt(mean)*r.NormFloat64())))
--- a/internal/contract/trial/trial.go
+++ b/internal/contract/trial/trial.go
@@ -278,13 +278,7 @@
 		}
 	}
 	if c := q.charges[o.GetAttempt()]; c != nil {
-		used := c.Thought
-		switch {
-		case status.NeverRan():
-			used = contract.Use{}
-		case status == choice.Served && o.GetTokens() > 0:
-			used = contract.Use{Read: max(0, q.in.PromptTokens-int(o.GetKept())), Made: int(o.GetTokens())}
-		}
+		used := c.Used(status, q.in.PromptTokens, int(o.GetKept()), int(o.GetTokens()))
 		p.book.Settle(at, c, used, status == choice.Served)
 		delete(q.charges, o.GetAttempt())
 	}
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		seen = true
-		low, high := r.Difference.Low, r.Difference.High
+		low, high := r.Difference.Interval[0], r.Difference.Interval[1]
 		if r.Difference.Pairs < leastPairs || Figures[i].More && low < -bound || !Figures[i].More && high > bound {
 			bad = append(bad, r)
 		}
--- a/internal/experiment/stats.go
+++ b/internal/experiment/stats.go
@@ -28,13 +28,12 @@
 // Difference is that of one figure between two variants, over pairs of runs with
 // the same workload and seed.
 type Difference struct {
-	Pairs     int        `json:"pairs"`
-	Base      float64    `json:"base"` // means
-	Variant   float64    `json:"variant"`
-	Mean      float64    `json:"difference"`
-	Low, High float64    `json:"-"`
-	Interval  [2]float64 `json:"interval"` // 95%
-	Verdict   Verdict    `json:"verdict"`
+	Pairs    int        `json:"pairs"`
+	Base     float64    `json:"base"` // means
+	Variant  float64    `json:"variant"`
+	Mean     float64    `json:"difference"`
+	Interval [2]float64 `json:"interval"` // 95%
+	Verdict  Verdict    `json:"verdict"`
 	// More is how many pairs in all would likely tell a difference as large as was
 	// seen; 0: this many did, or none was seen.
 	More int `json:"pairs_needed,omitempty"`
@@ -44,7 +43,8 @@
 func (d *Difference) Words() string {
 	switch {
 	case d.Verdict != CannotTell:
-		return fmt.Sprintf("%s by %.4g (%.4g to %.4g)", d.Verdict, math.Abs(d.Mean), min(math.Abs(d.Low), math.Abs(d.High)), max(math.Abs(d.Low), math.Abs(d.High)))
+		low, high := math.Abs(d.Interval[0]), math.Abs(d.Interval[1])
+		return fmt.Sprintf("%s by %.4g (%.4g to %.4g)", d.Verdict, math.Abs(d.Mean), min(low, high), max(low, high))
 	case d.Pairs < leastPairs:
 		return fmt.Sprintf("cannot tell with %d runs: at least %d are needed", d.Pairs, leastPairs)
 	case d.More > 0:
@@ -75,22 +75,22 @@
 	}
 	d.Base, d.Variant = stat.Mean(base[:n], nil), stat.Mean(variant[:n], nil)
 	d.Mean = stat.Mean(diff, nil)
-	d.Low, d.High = d.Mean, d.Mean
+	low, high := d.Mean, d.Mean
 	sd := 0.0
 	if n > 1 {
 		sd = stat.StdDev(diff, nil)
 	}
 	if sd > 0 && n >= leastPairs {
-		d.Low, d.High = interval(diff, d.Mean, sd/math.Sqrt(float64(n)), seed)
+		low, high = interval(diff, d.Mean, sd/math.Sqrt(float64(n)), seed)
 	}
-	d.Interval = [2]float64{d.Low, d.High}
+	d.Interval = [2]float64{low, high}
 	if n < leastPairs {
 		return d
 	}
 	switch {
-	case d.Low > 0 && more, d.High < 0 && !more:
+	case low > 0 && more, high < 0 && !more:
 		d.Verdict = Better
-	case d.High < 0, d.Low > 0:
+	case high < 0, low > 0:
 		d.Verdict = Worse
 	case d.Mean != 0:
 		// A normal test of that size with four chances in five to tell it.
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -466,7 +466,7 @@
 	seen     int64 // the registry's version that it has
 	waiting  bool  // a watch is out
 	watch    int   // counts them
-	timers   map[uint64][]choice.Micros
+	timers   capture.Timers
 	rng      *rand.Rand
 }
 
@@ -495,7 +495,7 @@
 	s := x.s.Settings
 	s.Self, s.Gateways, s.Zones, s.Kinds = i, x.s.Gateways, zones, kinds
 	s.Zone = zones[i%len(zones)]
-	g := &gateway{x: x, no: i, zone: s.Zone, requests: map[choice.RequestID]*request{}, next: 1, timers: map[uint64][]choice.Micros{}, rng: x.e.Rand(fmt.Sprint("gateway", i))}
+	g := &gateway{x: x, no: i, zone: s.Zone, requests: map[choice.RequestID]*request{}, next: 1, timers: capture.Timers{}, rng: x.e.Rand(fmt.Sprint("gateway", i))}
 	seed := g.rng.Uint64()
 	var err error
 	if g.b, err = choice.New(s, seed, g); err != nil {
@@ -519,7 +519,7 @@
 			Wait: true, KeepSize: math.MaxInt64, KeepAge: math.MaxInt64}); err != nil {
 			return nil, err
 		}
-		g.rec = capture.Record(start, g.b, g.book, g, g.writer, capture.Host{Timers: g.pending, Charges: g.open},
+		g.rec = capture.Record(start, g.b, g.book, g, g.writer, capture.Host{Timers: g.timers.Pending, Charges: g.open},
 			capture.Options{Checkpoint: 15 * time.Second, Block: 64 << 10, Flush: time.Minute, SegmentSize: 64 << 20, SegmentAge: time.Hour})
 		g.m = g.rec
 		if g.book != nil {
@@ -589,15 +589,6 @@
 	})
 }
 
-func (g *gateway) pending() (out []capture.Timer) {
-	for token, list := range g.timers {
-		for _, at := range list {
-			out = append(out, capture.Timer{At: at, Token: token})
-		}
-	}
-	return out
-}
-
 func (g *gateway) open() (out []contract.Open) {
 	for id, r := range g.requests {
 		if r.charge.Open() {
@@ -615,13 +606,9 @@
 // SetTimer: choice.Sink.
 func (g *gateway) SetTimer(delay choice.Micros, token uint64) {
 	at := g.x.e.Now() + delay
-	g.timers[token] = append(g.timers[token], at)
+	g.timers.Set(at, token)
 	g.x.e.At(at, func(now choice.Micros) {
-		if list := g.timers[token]; len(list) > 1 {
-			g.timers[token] = list[1:]
-		} else {
-			delete(g.timers, token)
-		}
+		g.timers.Fired(token)
 		g.m.TimerFired(now, token)
 	})
 }
@@ -762,13 +749,7 @@
 func (g *gateway) outcome(now choice.Micros, a *attempt, status choice.Status, rep choice.Report) {
 	r := a.r
 	if c := r.charges[a.n]; c != nil {
-		used := c.Thought
-		switch {
-		case status.NeverRan():
-			used = contract.Use{}
-		case status == choice.Served:
-			used = contract.Use{Read: max(0, r.in.PromptTokens-a.kept), Made: a.made}
-		}
+		used := c.Used(status, r.in.PromptTokens, a.kept, a.made)
 		g.books.Settle(now, r.in.ID, a.n, c, used, status == choice.Served)
 		g.book.Notices()
 	}
--- a/internal/gateway/contracts.go
+++ b/internal/gateway/contracts.go
@@ -99,20 +99,24 @@
 	return nil
 }
 
-type agreeOrder struct {
-	c      *Contracts
-	stored []contract.Balance
-	done   chan error
+// question has the loop find something out.
+type question[T any] struct {
+	f      func(*loop) T
+	answer chan T
 }
 
-func (e agreeOrder) apply(l *loop) {
-	before := l.files
-	l.files = e.c
-	err := l.agree(e.stored)
-	if err != nil {
-		l.files = before
+func (e question[T]) apply(l *loop) { e.answer <- e.f(l) }
+
+// ask has the loop answer a question between two events.
+func ask[T any](ctx context.Context, l *loop, f func(*loop) T) (answer T, err error) {
+	e := question[T]{f, make(chan T, 1)}
+	l.post(ctx, e)
+	select {
+	case answer = <-e.answer:
+		return answer, nil
+	case <-ctx.Done():
+		return answer, ctx.Err()
 	}
-	e.done <- err
 }
 
 // Agree puts other contracts in force; nil is none. What is in hand is settled as
@@ -122,14 +126,16 @@
 	if err != nil {
 		return err
 	}
-	e := agreeOrder{c, stored, make(chan error, 1)}
-	g.loop.post(ctx, e)
-	select {
-	case err := <-e.done:
+	refused, err := ask(ctx, g.loop, func(l *loop) error {
+		before := l.files
+		l.files = c
+		err := l.agree(stored)
+		if err != nil {
+			l.files = before
+		}
 		return err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	})
+	return errors.Join(refused, err)
 }
 
 // bookEvery is how often balances that are due are written.
@@ -193,55 +199,38 @@
 // failedEvery is how often a store that cannot be written is told.
 const failedEvery choice.Micros = 10_000_000
 
-type finalOrder struct{ done chan []contract.Balance }
-
-func (e finalOrder) apply(l *loop) {
-	if l.book == nil {
-		e.done <- nil
-		return
-	}
-	e.done <- l.book.Final()
-}
-
 // CloseBooks writes all balances as they are. It is called once nothing is in hand.
 func (g *Gateway) CloseBooks(ctx context.Context) error {
 	if g.keeper == nil {
 		return nil
 	}
-	e := finalOrder{make(chan []contract.Balance, 1)}
-	g.loop.post(ctx, e)
-	select {
-	case list := <-e.done:
-		g.keeper.Close()
-		if list == nil {
+	list, err := ask(ctx, g.loop, func(l *loop) []contract.Balance {
+		if l.book == nil {
 			return nil
 		}
-		return g.o.Ledger.Write(list)
-	case <-ctx.Done():
-		return ctx.Err()
+		return l.book.Final()
+	})
+	if err != nil {
+		return err
+	}
+	if g.keeper.Close(); list == nil {
+		return nil
 	}
+	return g.o.Ledger.Write(list)
 }
 
 // Accounts are the teams' books as they stand; none without contracts.
 func (g *Gateway) Accounts(ctx context.Context) ([]contract.Account, error) {
-	e := accountsOrder{make(chan []contract.Account, 1)}
-	g.loop.post(ctx, e)
-	select {
-	case list := <-e.done:
-		return list, nil
-	case <-ctx.Done():
-		return nil, errors.Join(errors.New("the gateway does not answer"), ctx.Err())
-	}
-}
-
-type accountsOrder struct{ done chan []contract.Account }
-
-func (e accountsOrder) apply(l *loop) {
-	if l.book == nil {
-		e.done <- nil
-		return
+	list, err := ask(ctx, g.loop, func(l *loop) []contract.Account {
+		if l.book == nil {
+			return nil
+		}
+		return l.book.Accounts()
+	})
+	if err != nil {
+		return nil, errors.Join(errors.New("the gateway does not answer"), err)
 	}
-	e.done <- l.book.Accounts()
+	return list, nil
 }
 
 // shares is what the gateway sees of the work in hand at the workers, of which it
@@ -338,19 +327,12 @@
 	return true
 }
 
-// settle puts what a delegation used in the place of its charge. What may have run
-// and told nothing keeps the estimate.
+// settle puts what a delegation used in the place of its charge.
 func (l *loop) settle(e *ended) {
 	if l.book == nil {
 		return
 	}
-	used := e.d.Charge.Thought
-	switch {
-	case e.status.NeverRan():
-		used = contract.Use{}
-	case e.status == choice.Served && e.tokens > 0:
-		used = contract.Use{Read: max(0, e.d.Request.In.PromptTokens-e.kept), Made: e.tokens}
-	}
+	used := e.d.Charge.Used(e.status, e.d.Request.In.PromptTokens, e.kept, e.tokens)
 	l.books.Settle(l.now, e.d.Request.ID, e.d.N, &e.d.Charge, used, e.status == choice.Served)
 	l.notices()
 }
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -95,22 +95,6 @@
 	return func() { store.Close() }, nil
 }
 
-// closeBooks leaves the balances exact on disk, if the disk is quick enough.
-func (s *server) closeBooks() {
-	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
-	defer stop()
-	done := make(chan error, 1)
-	go func() { done <- s.g.CloseBooks(ctx) }()
-	select {
-	case err := <-done:
-		if err != nil {
-			slog.Error("balances_failed", "err", err)
-		}
-	case <-ctx.Done():
-		slog.Error("balances_failed", "err", ctx.Err())
-	}
-}
-
 // server is a running gateway with what SIGHUP may change about it.
 type server struct {
 	getenv   func(string) string
@@ -216,8 +200,10 @@
 			if s.control != nil {
 				s.control.Close()
 			}
-			s.closeBooks()
-			s.endRecording()
+			if err := atTheEnd(s.g.CloseBooks); err != nil {
+				slog.Error("balances_failed", "err", err)
+			}
+			_ = atTheEnd(func(ctx context.Context) error { return s.g.Record(ctx, nil) }) // what is not whole is told by the capture itself
 			if err != nil {
 				return fmt.Errorf("drain: %w", err)
 			}
@@ -227,15 +213,17 @@
 	}
 }
 
-// endRecording leaves the capture whole on disk, if the disk is quick enough.
-func (s *server) endRecording() {
+// atTheEnd leaves something whole on disk, if the disk is quick enough.
+func atTheEnd(do func(context.Context) error) error {
 	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
 	defer stop()
 	done := make(chan error, 1)
-	go func() { done <- s.g.Record(ctx, nil) }()
+	go func() { done <- do(ctx) }()
 	select {
-	case <-done:
+	case err := <-done:
+		return err
 	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
