Floors add up in one order; what is in hand when contracts go is no later book's

Cause, found on reading over: an account summed its floors in a map's order, so that two runs of equal events could part by a rounding; and a charge open when contracts were taken out was settled on the next book, which no replay could follow.

--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -185,7 +186,8 @@
 	at        choice.Micros // it has earned up to then
 	level     float64       // units saved up; below 0: owed
 	floors    map[string]float64
-	asking    float64 // units a second, lately
+	floorsOf  []string // the classes that have floors, in order: sums must come out alike in each run
+	asking    float64  // units a second, lately
 	askedAt   choice.Micros
 	mayBorrow float64 // units of its bound on borrowing, up to a second's
 	part      float64 // of the contract that is this gateway's: 1 where it is alone
@@ -429,6 +431,7 @@
 // agree changes an account's terms. What was used in the periods at hand goes on.
 func (a *account) agree(t Terms) {
 	a.t, a.retired = t, false
+	a.floorsOf = slices.Sorted(maps.Keys(t.Floors))
 	a.level = math.Min(a.level, a.burst())
 	for class := range a.floors {
 		if _, ok := t.Floors[class]; !ok {
@@ -479,8 +482,8 @@
 	dt := float64(b.at-a.at) / 1e6
 	a.at = b.at
 	rest := a.t.Rate * a.part * dt
-	for class, f := range a.t.Floors {
-		f *= a.part
+	for _, class := range a.floorsOf {
+		f := a.t.Floors[class] * a.part
 		got := math.Max(0, math.Min(f*dt, f-a.floors[class])) // a floor saves up one second
 		a.floors[class] += got
 		rest -= got
--- a/internal/contract/state_test.go
+++ b/internal/contract/state_test.go
@@ -119,6 +119,25 @@
 	})
 }
 
+// Two runs of equal events have the same books, also with many floors.
+func TestFloorsAddUpAlike(t *testing.T) {
+	var first []byte
+	for range 30 {
+		a := team("a", 1000)
+		a.Floors = map[string]float64{}
+		for i := range 9 {
+			a.Floors[fmt.Sprint("class", i)] = 100.1 * float64(i+1) / 3 * float64(Token) / 7
+		}
+		b := book(t, a)
+		play(b, sec, 1, &load{tenant: "a", class: "class3", perS: 3000, each: 7}, &load{tenant: "a", class: "class5", perS: 900, each: 11})
+		if text := b.Snapshot(nil); first == nil {
+			first = text
+		} else if !bytes.Equal(first, text) {
+			t.Fatal("the same events make another book")
+		}
+	}
+}
+
 // Whatever the moment of a kill: a strict book counts afterwards at least what was
 // charged, and at most a reserve more; also when kill follows kill, each costs no
 // more than a reserve, and none where nothing was charged in between.
--- a/internal/gateway/books_test.go
+++ b/internal/gateway/books_test.go
@@ -225,3 +225,28 @@
 		t.Errorf("used %d", used/contract.Token)
 	}
 }
+
+// What was in hand when the contracts went is not settled on the books of later ones.
+func TestBooksAnewWithRequestsInHand(t *testing.T) {
+	dir, release := t.TempDir(), make(chan struct{})
+	w := newWorker(t, "s-1", func(c net.Conn, r *http.Request) bool {
+		<-release
+		return whole(c, r)
+	})
+	g := start(t, func(o *Options) { o.Capture, o.Contracts = captureTo(dir), agreed(100_000) }, w)
+	cl := dial(t, g.addr)
+	cl.askAs("held", "a")
+	until(t, "it is charged", func() bool { return g.accounts(t)["a"].Open == 1 })
+	for _, c := range []*Contracts{nil, agreed(100_000)} {
+		if err := g.Agree(t.Context(), c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(release)
+	cl.answer()
+	until(t, "its end", func() bool { return g.clients.held() == 0 })
+	if err := g.Record(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	replayDir(t, dir)
+}
--- a/internal/gateway/contracts.go
+++ b/internal/gateway/contracts.go
@@ -74,6 +74,8 @@
 		if l.book != nil && l.record != nil {
 			l.record.r.Renew(l.now, nil, 0, nil)
 		}
+		// What is open is no book's any more: a later one must not settle it.
+		l.requests.Charges(func(_ choice.RequestID, _ int, c *contract.Charge) { *c = contract.Charge{} })
 		l.book, l.books, l.shares = nil, nil, shares{}
 		return nil
 	}
