Gateways ask the registry in turns, and are ready on the saved list

Cause, three lines: (1) config.go CallTimeout 1.5 s left a queue in which calls wait for up to 2 s, so nearly all that were served had left; (2) choice.Start had all gateways call at once, and retries of 0.25 to 5 s kept it so: the registry works for calls that time out too. Change: calls wait 2.5 s; gateways call in turns of 0.11 s by their number, and fail apart over the same span; three gateways call at once as before. A gateway is ready with the saved list.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,7 +70,10 @@
 func (b *Balancer) Start(now Micros) {
 	b.lastTick = now
 	if b.s.AskRegistry {
-		b.watch(now)
+		b.askAt = now + b.askSpread()*int64(b.s.Self)/int64(b.s.Gateways) // each in its turn
+		if b.askAt == now {
+			b.watch(now)
+		}
 	}
 	b.out.SetTimer(1+int64(b.random()*float64(tickEvery)), timerTick)
 }
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -16,6 +16,9 @@
 	// askFirst and askMost bound the wait before the registry is asked again;
 	// the rules count a gateway that has not asked for longer as told.
 	askFirst, askMost Micros = 500_000, 5_000_000
+	// askEach is the registry's time for one gateway's call, and spreadMost bounds the
+	// turns of all of them: the rules let a gateway go for some seconds without asking.
+	askEach, spreadMost Micros = 110_000, 8_000_000
 	// coldCare is the part of the allowed cold work that is used: requests come
 	// by chance and cost more than their budget at times.
 	coldCare = 0.4
@@ -44,7 +47,8 @@
 		if b.s.AskRegistry {
 			// Calls fail when all ask at once: wait longer each time, apart.
 			b.watching = false
-			b.askBackoff = min(askMost, max(askFirst, 2*b.askBackoff))
+			spread := b.askSpread()
+			b.askBackoff = min(max(askMost, 2*spread), max(askFirst, spread, 2*b.askBackoff))
 			b.askAt = now + int64(float64(b.askBackoff)*(0.5+0.5*b.random()))
 		}
 		return
@@ -82,6 +86,17 @@
 	b.refresh(now)
 }
 
+// askSpread is over how long the gateways' calls must be apart for the registry to
+// answer all; 0: it takes them at once. It works for calls too that it will not
+// answer in time: eighty at once kept it busy for ten seconds with seventeen answers,
+// and with all asking again within seconds it answered none.
+func (b *Balancer) askSpread() Micros {
+	if all := Micros(b.s.Gateways) * askEach; all > askFirst {
+		return min(all, spreadMost)
+	}
+	return 0
+}
+
 func (b *Balancer) watch(now Micros) {
 	b.askAt = now + askMost // asked again if no answer comes at all
 	b.out.WatchRegistry()
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -352,6 +352,66 @@
 	}
 }
 
+// queue is a registry that answers calls in turn, a tenth of a second each. Those
+// that would wait for over two seconds fail then, and it has worked for them too.
+type queue struct{ free Micros }
+
+func (q *queue) call(now Micros) (at Micros, ok bool) {
+	q.free = max(q.free, now) + sec/10
+	return min(q.free, now+2*sec), q.free <= now+2*sec
+}
+
+// Eighty gateways that all start at once, as after a mass kill, have the list of a
+// registry that answers ten of them a second within twelve seconds, and hardly a
+// call fails. All at once, one in five had it.
+func TestEightyGatewaysDoNotStallTheRegistry(t *testing.T) {
+	const gateways = 80
+	var q queue
+	type one struct {
+		b    *Balancer
+		rec  *recorder
+		at   Micros // when its call ends; 0: none is out
+		ok   bool
+		told bool
+	}
+	var all []*one
+	for i := range gateways {
+		s := settings()
+		s.AskRegistry, s.Gateways, s.Self = true, gateways, i
+		g := &one{rec: &recorder{}}
+		g.b, _ = New(s, uint64(i+1), g.rec)
+		g.b.Start(0)
+		all = append(all, g)
+	}
+	failed := 0
+	for now := Micros(0); now < 12*sec; now += tickEvery {
+		for _, g := range all {
+			if g.at > 0 && now >= g.at {
+				g.at, g.told = 0, g.ok
+				kind := ListFull
+				if !g.ok {
+					kind = ListFailed
+					failed++
+				}
+				g.b.ListChanged(now, ServerList{Kind: kind, Members: fleet(2)})
+			}
+			g.b.tick(now)
+			if asked := len(g.rec.take("watch")) > 0; asked && g.at == 0 && !g.told {
+				g.at, g.ok = q.call(now)
+			}
+		}
+	}
+	told := 0
+	for _, g := range all {
+		if g.told {
+			told++
+		}
+	}
+	if told < gateways || failed > gateways/10 {
+		t.Errorf("%d of %d gateways were answered, %d calls failed", told, gateways, failed)
+	}
+}
+
 func TestRegistryIsAskedAgainApart(t *testing.T) {
 	s := settings()
 	s.AskRegistry = true
--- a/internal/fleet/emulate/emulate_test.go
+++ b/internal/fleet/emulate/emulate_test.go
@@ -34,7 +34,7 @@
 	g, err := gateway.New(gateway.Options{Name: "e", Discovery: registry, Seed: 1, Known: socket.List{Generation: socket.NoVersion}, Settings: set,
 		MostHeld: 500, ClientConns: 500, SpareConns: 8, WorkerConns: 500, BodyBytes: 1 << 20, ConnectTimeout: time.Second, ConnIdle: 10 * time.Second,
 		ClientIdle: 10 * time.Second, Stall: 4 * time.Second, ProbeTimeout: time.Second, AskWithin: 10 * time.Second, WatchWait: time.Second,
-		CallTimeout: time.Second, LateStart: 2 * time.Second, DrainAccept: 50 * time.Millisecond})
+		CallTimeout: time.Second, DrainAccept: 50 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,6 @@
 	AskWithin      time.Duration // after so long without asking, a change counts as told
 	WatchWait      time.Duration // how long the registry may hold a watch call
 	CallTimeout    time.Duration // how much longer an answer of the registry may take
-	LateStart      time.Duration // after which the saved list will do to be ready
 	DrainAccept    time.Duration // how long SIGTERM leaves the listener open
 
 	Capture   *Capture      // nil: nothing is recorded
@@ -99,7 +98,6 @@
 	go g.loop.run(ctx)
 	go g.watch(ctx)
 	go g.sweep(ctx)
-	go g.readyLate(ctx)
 	go g.bookkeeping(ctx)
 	err := g.server.Serve(g.clients.listen(l))
 	if err == http.ErrServerClosed {
@@ -151,15 +149,6 @@
 	}
 }
 
-// readyLate lets the saved list do when the registry stays silent.
-func (g *Gateway) readyLate(ctx context.Context) {
-	select {
-	case <-time.After(g.o.LateStart):
-		g.loop.post(ctx, lateStart{})
-	case <-ctx.Done():
-	}
-}
-
 // clock is the monotonic clock in microseconds. It starts at the Unix time, so
 // that the start of a worker from before the gateway's own is above 0: a worker
 // still cold when its gateway restarts must count as cold.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -633,6 +633,21 @@
 	until(t, "ready", func() bool { return g.ready.Load() })
 }
 
+// With the list as last held a gateway serves at once: where all come back together,
+// the registry has no turn for some of them for seconds.
+func TestReadyOnTheSavedList(t *testing.T) {
+	w := newWorker(t, "s-1", whole)
+	g := start(t, func(o *Options) {
+		o.Known = socket.List{Instances: []socket.Instance{instance(w, "ready")}}
+		o.Settings.Gateways, o.Settings.Self = 80, 79 // whose turn at the registry comes last
+	}, w)
+	c := dial(t, g.addr)
+	c.ask("saved", "4000m")
+	if resp, _ := c.answer(); resp.StatusCode != 200 || g.reg.seen() != 0 {
+		t.Errorf("status %d after %d calls of the registry", resp.StatusCode, g.reg.seen())
+	}
+}
+
 // A worker that started shortly before the gateway is still cold: on a clock
 // that began with the gateway its start fell below 0, which means long ago.
 func TestStartsBeforeTheGatewayCount(t *testing.T) {
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -214,9 +214,7 @@
 func (l *loop) list(in socket.List, kind choice.ListKind) {
 	l.take(in, kind)
 	l.told = l.told || kind != choice.ListSaved
-	if l.told {
-		l.setReady()
-	}
+	l.setReady()
 }
 
 // take enters a list, or what marks change about it.
@@ -234,11 +232,9 @@
 
 var kindWords = map[choice.ListKind]string{choice.ListDelta: "delta", choice.ListFull: "full", choice.ListSaved: "saved"}
 
-type lateStart struct{}
-
-func (lateStart) apply(l *loop) { l.setReady() }
-
-// setReady opens the gateway to the front once a worker can be sent to.
+// setReady opens the gateway to the front once a worker can be sent to. The list
+// as last held will do: where all gateways come back at once, the registry has no
+// turn for some of them for seconds.
 func (l *loop) setReady() {
 	if l.registry.Ready() > 0 && !l.g.ready.Swap(true) {
 		slog.Info("ready", "workers", l.registry.Ready(), "from_registry", l.told)
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -211,7 +211,7 @@
 			MaxRetryAfter: 2e6, StartCapacity: 0.3, FallMultiple: 3, ColdFor: 8e6, FallSpan: 1.5e6, ConnStreams: 1, ConnIdle: 60e6},
 		MostHeld: 50, ClientConns: 50, SpareConns: 5, WorkerConns: 50, BodyBytes: 8 << 20,
 		ConnectTimeout: time.Second, ConnIdle: 45 * time.Second, ClientIdle: time.Minute, Stall: 4 * time.Second,
-		ProbeTimeout: time.Second, WatchWait: 8 * time.Second, CallTimeout: 2 * time.Second, LateStart: 10 * time.Second,
+		ProbeTimeout: time.Second, WatchWait: 8 * time.Second, CallTimeout: 2 * time.Second,
 		DrainAccept: time.Second}
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -71,15 +71,13 @@
 		case <-ctx.Done():
 			return
 		}
-		// The first call does not wait: the module is to know at once that the
-		// registry answers, also when nothing has changed.
-		wait := time.Millisecond
 		for {
+			wait := g.live.Load().watchWait
 			path := socket.ListQuery(version, wait.Milliseconds())
 			list, next, err := g.fetchList(ctx, addr, path, wait+g.live.Load().callTimeout)
 			if next != "" {
 				// Another registry's versions mean nothing there: the whole list.
-				addr, version, wait = g.moved(addr, next), socket.NoVersion, time.Millisecond
+				addr, version = g.moved(addr, next), socket.NoVersion
 				continue
 			}
 			if err != nil {
@@ -88,7 +86,6 @@
 			}
 			version = list.Generation
 			g.loop.post(ctx, listed{list})
-			wait = g.live.Load().watchWait
 		}
 		select { // orders given while it ran are answered by its failure
 		case <-g.loop.watches:
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -190,10 +190,11 @@
 	o.ClientIdle = 15 * time.Second
 	o.Stall = 4 * time.Second
 	o.ProbeTimeout = 250 * time.Millisecond
-	o.WatchWait = min(8*time.Second, time.Duration(extra.Rules.AskWithinUs)*time.Microsecond*4/5)
 	o.AskWithin = time.Duration(extra.Rules.AskWithinUs) * time.Microsecond
-	o.CallTimeout = 1500 * time.Millisecond
-	o.LateStart = 2 * time.Second
+	// Longer than the registry has calls wait for their turn: a caller that leaves
+	// its queue earlier has wasted the turn and waits anew.
+	o.CallTimeout = min(2500*time.Millisecond, o.AskWithin/2)
+	o.WatchWait = min(8*time.Second, o.AskWithin-o.CallTimeout)
 	o.DrainAccept = drainAccept
 	return c, nil
 }
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -57,6 +57,11 @@
 	if o.ConnIdle >= 60*time.Second || o.ConnectTimeout != 50*time.Millisecond || o.WatchWait > 10*time.Second {
 		t.Errorf("idle %v, connect %v, watch %v", o.ConnIdle, o.ConnectTimeout, o.WatchWait)
 	}
+	// The registry has calls wait for two seconds; who leaves sooner has no answer,
+	// and who asks for longer than the rules let it be silent counts as told.
+	if o.CallTimeout <= 2*time.Second || o.WatchWait+o.CallTimeout > o.AskWithin {
+		t.Errorf("calls end after %v, watches after %v, asked within %v", o.CallTimeout, o.WatchWait, o.AskWithin)
+	}
 	if !o.Settings.RetryAfter || !o.Settings.AskRegistry || o.Settings.MayTellPeers || len(o.Known.Instances) != 1 || o.Known.Generation != 0 {
 		t.Errorf("%+v", o)
 	}
