--- a/example/teams/main.go
+++ b/example/teams/main.go
@@ -142,7 +142,7 @@
 		{Name: "bulk", Aim: 1_000_000, TokenAim: 300_000, Deadline: args.Deadline.Microseconds(), Worth: 2, LateWorth: 0.3, Stream: true}}
 	o := gateway.Options{Name: "teams", Discovery: f.registry(), Seed: args.Seed, Known: socket.List{Generation: socket.NoVersion}, MostHeld: 4000, ClientConns: 4000, SpareConns: 16, WorkerConns: 2000,
 		BodyBytes: 1 << 20, ConnectTimeout: time.Second, ConnIdle: 30 * time.Second, ClientIdle: 30 * time.Second, Stall: 5 * time.Second,
-		ProbeTimeout: time.Second, AskWithin: 10 * time.Second, WatchWait: 2 * time.Second, CallTimeout: time.Second, LateStart: time.Second,
+		ProbeTimeout: time.Second, AskWithin: 10 * time.Second, WatchWait: 2 * time.Second, CallTimeout: time.Second,
 		DrainAccept: 100 * time.Millisecond,
 		Settings: choice.Settings{Gateways: 1, Zone: "here", Zones: []string{"here"}, Kinds: []string{"toy"}, Classes: classes, MaxAttempts: 3,
 			OverShareWorth: 0.05, MayProbe: true}}
