One of many gateways asks three workers for reports before it sends

Lines: table.go fresh / Gateways, prefixThreshold; guard.go coldAllows, probeInterval, failed. Change, above ten gateways: a pick makes a short list of three, asks those whose report is over 0.4 s old and waits 60 ms at most; a report weighs by its age alone; no probes otherwise; prefix shares are counted beside what others have seen; a cold worker is open to a part of the gateways by its warmth, for one request a span, and is taken to hold what it can bear; a failure rests for 4 s at eighty; a report of under half the mean is not believed.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -14,6 +14,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 )
 
 // Balancer makes the decisions of one gateway. It is single-threaded,
@@ -102,6 +103,9 @@
 		return
 	}
 	b.dispatch(now, r)
+	if !r.ended && len(r.attempts) == 0 { // it waits for reports, but not for long
+		b.out.SetTimer(askWait, timerHedge|uint64(in.ID)<<timerBits)
+	}
 	if !r.ended {
 		b.out.SetTimer(max(1, b.aim(r)), timerAim|uint64(in.ID)<<timerBits)
 	}
@@ -123,7 +127,10 @@
 		b.settle(r)
 		return false
 	}
-	w, kept := b.pick(now, r)
+	w, kept, wait := b.pick(now, r)
+	if wait {
+		return false
+	}
 	if w == nil {
 		b.settle(r)
 		return false
@@ -140,6 +147,20 @@
 	return true
 }
 
+// resume takes up the requests that wait for reports: those with nothing sent.
+func (b *Balancer) resume(now Micros) {
+	var ids []RequestID
+	for id, r := range b.requests {
+		if len(r.attempts) == 0 && !r.ended {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		b.dispatch(now, b.requests[id])
+	}
+}
+
 // settle ends r if no attempt is out.
 func (b *Balancer) settle(r *request) {
 	if r.ended || r.live > 0 || r.opened {
@@ -303,7 +324,11 @@
 	case timerDeadline:
 		b.refuse(r)
 	case timerHedge:
-		b.hedge(now, r)
+		if len(r.attempts) == 0 {
+			b.dispatch(now, r)
+		} else {
+			b.hedge(now, r)
+		}
 	case timerAim:
 		r.late = true
 		b.noteLate(1)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -150,7 +150,7 @@
 			}
 		}
 		r := &request{Request: req(1), terms: b.terms[0], tenant: -1, avoidZone: -1}
-		if got, _ := b.pick(now, r); got == nil || got.id != c.want {
+		if got, _, _ := b.pick(now, r); got == nil || got.id != c.want {
 			t.Errorf("%s: picked %v, want %d", c.name, got, c.want)
 		}
 	}
@@ -228,7 +228,7 @@
 	for i := range 40 {
 		r := req(RequestID(i + 1))
 		r.Session = mix(uint64(i)) // sessions with homes of their own
-		w, _ := b.pick(now, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1})
+		w, _, _ := b.pick(now, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1})
 		if w.id == 4 {
 			hits++
 		}
@@ -248,13 +248,13 @@
 		s := settings()
 		s.Self, s.Gateways = self, 3
 		b, _ := start(t, s, fleet(8)...)
-		w, kept := b.pick(101*sec, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1})
+		w, kept, _ := b.pick(101*sec, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1})
 		if home != 0 && w.id != home || kept <= 0 {
 			t.Fatalf("gateway %d picked %d (kept %v), another %d", self, w.id, kept, home)
 		}
 		home = w.id
 		w.charge, w.unseen = 1e6, 1e6
-		if w2, _ := b.pick(101*sec, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1}); w2.id == home {
+		if w2, _, _ := b.pick(101*sec, &request{Request: r, terms: b.terms[0], tenant: -1, avoidZone: -1}); w2.id == home {
 			t.Fatal("a jammed home is still picked")
 		}
 	}
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -127,19 +127,25 @@
 	if warm >= 1 {
 		return true
 	}
+	slot := (now - w.coldFrom) / max(1, b.s.FallSpan)
+	round := unit(mix(b.seed ^ w.hash ^ uint64(slot)))
+	if slot != w.coldSlot {
+		w.coldSlot, w.coldSpent = slot, 0
+	}
+	if b.sparse() {
+		// Shares of a hundredth of a request would hardly ever be used. A pick asks few
+		// workers, which bounds what comes to one: it is open to a part of the gateways
+		// by its warmth, in each span to others, for one request each.
+		return w.coldSpent == 0 && round <= coldCare*b.s.FallMultiple*warm
+	}
 	if b.ready == 0 || b.chargeRate <= 0 {
 		return false
 	}
 	// own share of the work that a warm replica of like speed gets in a span
 	share := b.chargeRate / float64(b.ready) / math.Max(1, w.slow) * float64(b.s.FallSpan) / 1e6
-	slot := (now - w.coldFrom) / max(1, b.s.FallSpan)
-	if slot != w.coldSlot {
-		w.coldSlot, w.coldSpent = slot, 0
-	}
 	// What a gateway may send in one span is often under one request. It rounds
 	// by the hash of the span, apart from its peers, and saves nothing up: saved
 	// shares of many gateways, spent at once, pushed a cold replica over.
-	round := unit(mix(b.seed ^ w.hash ^ uint64(slot)))
 	return w.coldSpent+round*charge <= coldCare*b.s.FallMultiple*warm*share
 }
 
@@ -254,7 +260,7 @@
 func (b *Balancer) failed(now Micros, w *row, s Status) {
 	w.errors += 0.2 * (1 - w.errors)
 	w.fails++
-	rest := min(backoffMost, backoffFirst<<min(w.fails-1, 5))
+	rest := min(backoffMost, b.firstRest()<<min(w.fails-1, 5))
 	w.retryAt = now + int64(float64(rest)*(0.75+0.5*b.random()))
 	if s == ConnectFailed || s == ConnBroken {
 		if b.zoneFails[w.zone]++; b.zoneFails[w.zone] >= zoneSuspect {
@@ -263,6 +269,15 @@
 	}
 }
 
+// firstRest is how long a replica rests after its first failure. One of many gateways
+// comes by seldom, and half a second later it would have forgotten.
+func (b *Balancer) firstRest() Micros {
+	if b.sparse() {
+		return backoffFirst * Micros(b.s.Gateways) / sparseFrom
+	}
+	return backoffFirst
+}
+
 // mayRetry tells whether the budget allows a further attempt after s. What
 // never ran cost no work.
 func (b *Balancer) mayRetry(s Status) bool {
@@ -430,7 +445,7 @@
 // probe asks replicas for reports where those come no other way. The gateways
 // share the work by hash, and tell each other, where they may.
 func (b *Balancer) probe(now Micros) {
-	if !b.s.MayProbe || b.s.ReportVia == ReportNone {
+	if !b.s.MayProbe || b.s.ReportVia == ReportNone || b.sparse() {
 		return
 	}
 	for _, w := range b.rows {
@@ -485,6 +500,9 @@
 		return
 	}
 	w.probing = false
+	if b.sparse() {
+		defer b.resume(now)
+	}
 	if o.Status != Served {
 		if o.Status == ConnectFailed || o.Status == Errored {
 			b.failed(now, w, o.Status)
--- a/choice/state.go
+++ b/choice/state.go
@@ -57,14 +57,15 @@
 	myZone int
 	kinds  []kindStats
 
-	ready      int     // replicas listed as ready
-	meanLoad   float64 // mean of slowness x held tokens over fresh rows
-	shareRatio float64 // fleet mean of memory share a token
-	liveScale  float64 // tokens held for each unit of a live weight's load
-	lifetime   float64 // mean time from dispatch to end: how long a report says something
-	meanHold   float64 // mean tokens held for a request
-	meanCharge float64 // mean charge of a dispatch
-	openTokens float64 // sum of hold tokens of all own attempts out
+	ready      int                  // replicas listed as ready
+	meanLoad   float64              // mean of slowness x held tokens over fresh rows
+	shareRatio float64              // fleet mean of memory share a token
+	liveScale  float64              // tokens held for each unit of a live weight's load
+	short      [shortList]candidate // of the last pick
+	lifetime   float64              // mean time from dispatch to end: how long a report says something
+	meanHold   float64              // mean tokens held for a request
+	meanCharge float64              // mean charge of a dispatch
+	openTokens float64              // sum of hold tokens of all own attempts out
 
 	sessions  map[uint64]session
 	sessRing  []uint64
@@ -110,6 +111,12 @@
 	health
 }
 
+// candidate is a row as a pick weighed it.
+type candidate struct {
+	row         *row
+	score, kept float64
+}
+
 type session struct {
 	at     ReplicaID
 	tokens int
--- a/choice/table.go
+++ b/choice/table.go
@@ -6,6 +6,14 @@
 )
 
 const (
+	// sparseFrom is the number of gateways above which reports are asked for.
+	sparseFrom = 10
+	// shortList is of how many workers, askOlder for how old a report, and askWait for
+	// how long an answer is waited for.
+	shortList                = 3
+	askOlder, askWait Micros = 400_000, 60_000
+	// idleMost is the part of the mean load below which a report is not believed.
+	idleMost = 0.5
 	// readCost is the charge of a prompt token that must be read, in held
 	// tokens: reading takes a replica's whole step, holding a part of it.
 	readCost = 4.0
@@ -71,62 +79,6 @@
 	w.live = load
 }
 
-// report takes a replica's own account of its load.
-func (b *Balancer) report(now Micros, w *row, in Report) {
-	if in.Has == 0 {
-		return
-	}
-	tokens := 0.0
-	hasShare := in.Has&HasMemory != 0
-	share := in.MemoryShare
-	if !hasShare && in.Has&HasUtil != 0 {
-		hasShare, share = true, in.Util
-	}
-	if hasShare {
-		b.fitRatio(w, share, in)
-		if w.ratio > 0 {
-			tokens = share / w.ratio
-		}
-	}
-	// What waits is held soon: prompts still to be read, requests in the queue.
-	switch {
-	case in.Has&HasUnread != 0:
-		tokens += readCost * 1000 * in.UnreadK
-	case in.Has&HasQueued != 0:
-		tokens += in.Queued * b.meanCharge
-	case in.Has&HasInFlight != 0:
-		tokens = math.Max(tokens, in.InFlight*b.meanHold)
-	}
-	if in.Has&HasService != 0 && in.ServiceMs > 0 {
-		b.noteService(now, w, in.ServiceMs)
-	}
-	if w.live > 0 && hasShare {
-		s := tokens / w.live
-		if b.liveScale == 0 {
-			b.liveScale = s
-		}
-		b.liveScale += learnRate * (s - b.liveScale)
-	}
-	b.setHeld(now, w, tokens)
-}
-
-// setHeld dates a report and finds the charges that are too young for it.
-func (b *Balancer) setHeld(now Micros, w *row, tokens float64) {
-	w.held, w.reportAt, w.unseen = tokens, now, 0
-	for _, a := range w.open {
-		if a.sent > now-reportLag {
-			w.unseen += a.charge()
-		}
-	}
-}
-
-func (a *attempt) charge() float64 {
-	if a.opened > 0 {
-		return a.hold
-	}
-	return a.read + a.hold
-}
-
 // holdTokens is what r will hold while it runs: its prompt and its answer.
 func (b *Balancer) holdTokens(r *request) float64 {
 	answer := float64(r.MaxTokens) / 4 // limits are seldom reached
@@ -153,31 +105,9 @@
 	b.noteSent(now, w, c)
 }
 
-// release takes the reading part, or with all the whole charge, off the ledger.
-func (b *Balancer) release(w *row, a *attempt, all bool) {
-	if !all {
-		w.charge -= a.read
-		w.unseen = math.Max(0, w.unseen-a.read)
-		return
-	}
-	for i, o := range w.open {
-		if o == a {
-			w.open = append(w.open[:i], w.open[i+1:]...)
-			break
-		}
-	}
-	c := a.charge()
-	w.charge -= c
-	w.unseen = math.Max(0, w.unseen-c)
-	b.openTokens -= a.hold
-	if len(w.open) == 0 {
-		w.charge, w.unseen = 0, 0
-	}
-}
-
 // pick scans all rows for the least predicted load and tells how many prompt
-// tokens are expected to be kept there.
-func (b *Balancer) pick(now Micros, r *request) (*row, float64) {
+// tokens are expected to be kept there, or that r is to wait for reports.
+func (b *Balancer) pick(now Micros, r *request) (best *row, bestKept float64, wait bool) {
 	home, holder, holderTokens := b.holders(r)
 	hold := b.holdTokens(r)
 	prompt := float64(r.PromptTokens)
@@ -191,8 +121,8 @@
 	sights := (b.popular[r.Prefix] / math.Max(1, b.popTotal)) * perReplica / math.Min(1, threshold)
 	peers := float64(b.s.Gateways-1) / float64(b.s.Gateways)
 	invLife := 1 / math.Max(1, b.lifetime)
-	var best *row
-	var bestScore, bestKept float64
+	sparse := b.sparse()
+	b.short = [shortList]candidate{}
 	last := b.lastResort(now, r)
 	for _, w := range b.rows {
 		if !b.usable(now, w, r, last) {
@@ -213,10 +143,18 @@
 		fresh, arrivals := 0.0, perReplica*b.lifetime/1e6
 		if w.reportAt >= 0 {
 			age := float64(now-w.reportAt) + float64(reportLag)/2
-			fresh = math.Max(0, 1-age*invLife/2) / float64(b.s.Gateways)
+			fresh = math.Max(0, 1-age*invLife/2) / b.crowd()
 			arrivals = math.Min(arrivals, perReplica*age/1e6)
 		}
-		held := (1-fresh)*(peers*b.meanLoad/w.slow+w.charge) + fresh*(w.held+w.unseen)
+		usual, reported := peers*b.meanLoad/w.slow, w.held
+		switch {
+		case !sparse:
+		case now < w.coldUntil: // it holds what it can bear, or nothing would go there
+			usual *= b.warmth(now, w)
+		default: // idle for its quick errors, may be
+			reported = math.Max(reported, idleMost*usual)
+		}
+		held := (1-fresh)*(usual+w.charge) + fresh*(reported+w.unseen)
 		// Gateways that read one report must not all pick one replica: the
 		// sends of peers that it cannot show yet are a noise of their own.
 		noise := fresh * b.random() * b.meanHold * math.Sqrt(arrivals)
@@ -227,17 +165,54 @@
 		score := (w.slow*(held+hold) + readCost*(prompt-kept)) * guard
 		if b.judge != nil {
 			b.weighed = append(b.weighed, Terms{Worker: w.id, Score: score, Fresh: fresh, Reported: w.held, Unseen: w.unseen,
-				Peers: peers * b.meanLoad / w.slow, Charge: w.charge, Noise: noise, Slow: w.slow, Hold: hold, Prompt: prompt,
+				Peers: usual, Charge: w.charge, Noise: noise, Slow: w.slow, Hold: hold, Prompt: prompt,
 				Kept: kept, Guard: guard, Holder: w == holder, Home: w == home})
 		}
-		if best == nil || score < bestScore {
-			best, bestScore, bestKept = w, score, kept
-		}
+		b.shorten(candidate{w, score, kept})
+	}
+	best, bestKept = b.short[0].row, b.short[0].kept
+	if b.inquire(now, r) {
+		b.weighed = b.weighed[:0]
+		return nil, 0, true
 	}
 	if b.judge != nil {
-		return b.judged(r, best, bestKept)
+		best, bestKept = b.judged(r, best, bestKept)
+	}
+	return best, bestKept, false
+}
+
+// sparse tells that there are so many gateways that one hears too seldom of a worker
+// for its own answers' reports to say how loaded it is now.
+func (b *Balancer) sparse() bool {
+	return b.s.Gateways > sparseFrom && b.s.MayProbe && b.s.ReportVia != ReportNone
+}
+
+// crowd is among how many a report is shared that reaches all gateways alike. Where
+// each asks for its own as it needs them, no two have the same.
+func (b *Balancer) crowd() float64 {
+	if b.sparse() {
+		return 1
+	}
+	return float64(b.s.Gateways)
+}
+
+// inquire asks the workers on the short list for reports where theirs are old, when r
+// has just come, and tells whether r is to wait for answers that are out.
+func (b *Balancer) inquire(now Micros, r *request) (wait bool) {
+	if !b.sparse() || len(r.attempts) > 0 || now >= r.arrived+askWait || r.deadline-now < 8*askWait {
+		return false
+	}
+	for _, c := range b.short {
+		if c.row == nil {
+			break
+		}
+		if now == r.arrived && !c.row.probing && (c.row.reportAt < 0 || now-c.row.reportAt > askOlder) {
+			c.row.probing, c.row.probed = true, now
+			b.out.Probe(c.row.id)
+		}
+		wait = wait || c.row.probing
 	}
-	return best, bestKept
+	return wait
 }
 
 // seen tells how likely w, if it started lately, has read what it gets so often.
@@ -251,12 +226,15 @@
 // prefixThreshold is the share of replicas that are home to r's prefix: as
 // much as its share of the traffic needs, and some to spare. The one added
 // sight keeps gateways that have seen little near to all replicas, and so near
-// to each other: on a few sights, homes moved about with the counts.
+// to each other: on a few sights, homes moved about with the counts. Of many
+// gateways each counts too few to tell a share: what the others have seen stands
+// beside it as sights of other prefixes, half as many as they are.
 func (b *Balancer) prefixThreshold(r *request) float64 {
 	if r.Prefix == 0 || b.popTotal <= 0 || b.ready == 0 {
 		return 1
 	}
-	return math.Max(2/float64(b.ready), homeSpread*(b.popular[r.Prefix]+1)/(b.popTotal+1))
+	unseen := math.Max(1, float64(b.s.Gateways)/2-1)
+	return math.Max(2/float64(b.ready), homeSpread*(b.popular[r.Prefix]+1)/(b.popTotal+unseen))
 }
 
 // holders finds the replica that all gateways take for the home of r's
