A wait for reports ends in no second copy; one of the asked workers is drawn by chance

Cause: the end of a request's wait for reports shared its timer's token with the second copies (choice.go, RequestArrived and TimerFired), so a request sent after 10 ms got a copy at 60 ms. Change: a token of its own; the third place of the short list is drawn by chance; a request waits for those it asked; a session has a second home that all gateways agree on.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,6 +45,8 @@
 	timerHedge
 	timerAim
 	timerBits = 2
+	// timerAsked, above the name, ends a request's wait for reports.
+	timerAsked uint64 = 1 << 63
 )
 
 // learnRate is the weight of a new sample in slow averages (about 30 samples).
@@ -104,7 +106,7 @@
 	}
 	b.dispatch(now, r)
 	if !r.ended && len(r.attempts) == 0 { // it waits for reports, but not for long
-		b.out.SetTimer(askWait, timerHedge|uint64(in.ID)<<timerBits)
+		b.out.SetTimer(askWait, timerAsked|uint64(in.ID)<<timerBits)
 	}
 	if !r.ended {
 		b.out.SetTimer(max(1, b.aim(r)), timerAim|uint64(in.ID)<<timerBits)
@@ -320,15 +322,15 @@
 	if r == nil || r.ended || r.opened {
 		return
 	}
-	switch token & (1<<timerBits - 1) {
-	case timerDeadline:
-		b.refuse(r)
-	case timerHedge:
+	switch token & (1<<timerBits - 1 | timerAsked) {
+	case timerAsked:
 		if len(r.attempts) == 0 {
 			b.dispatch(now, r)
-		} else {
-			b.hedge(now, r)
 		}
+	case timerDeadline:
+		b.refuse(r)
+	case timerHedge:
+		b.hedge(now, r)
 	case timerAim:
 		r.late = true
 		b.noteLate(1)
--- a/choice/table.go
+++ b/choice/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -108,7 +109,7 @@
 // pick scans all rows for the least predicted load and tells how many prompt
 // tokens are expected to be kept there, or that r is to wait for reports.
 func (b *Balancer) pick(now Micros, r *request) (best *row, bestKept float64, wait bool) {
-	home, holder, holderTokens := b.holders(r)
+	home, second, holder, holderTokens := b.holders(r)
 	hold := b.holdTokens(r)
 	prompt := float64(r.PromptTokens)
 	prefix := math.Min(prompt, float64(r.PrefixTokens))
@@ -136,6 +137,8 @@
 			kept = math.Min(prompt, holderTokens)
 		} else if w == home && holder == nil && r.Session != 0 {
 			kept = prefix + (prompt-prefix)/2
+		} else if sparse && w == second && holder == nil && r.Session != 0 {
+			kept = prefix + (prompt-prefix)/4
 		}
 		kept *= b.keptTrust
 		// A report fades with age: old, the row says no more than that peers
@@ -196,21 +199,38 @@
 	return float64(b.s.Gateways)
 }
 
+// wildcard puts a worker drawn by chance in the last place of the short list: of one
+// that no reckoning favours, as of one that is new, nothing would ever be heard.
+func (b *Balancer) wildcard(now Micros, r *request) {
+	n := len(b.rows)
+	for i, k := 0, int(b.random()*float64(n)); i < n; i++ {
+		w := b.rows[(k+i)%n]
+		if w != b.short[0].row && w != b.short[1].row && b.usable(now, w, r, false) {
+			b.short[shortList-1] = candidate{row: w}
+			return
+		}
+	}
+}
+
 // inquire asks the workers on the short list for reports where theirs are old, when r
 // has just come, and tells whether r is to wait for answers that are out.
 func (b *Balancer) inquire(now Micros, r *request) (wait bool) {
 	if !b.sparse() || len(r.attempts) > 0 || now >= r.arrived+askWait || r.deadline-now < 8*askWait {
 		return false
 	}
+	if now > r.arrived {
+		return slices.ContainsFunc(b.rows, func(w *row) bool { return w.probing && w.probed == r.arrived })
+	}
+	b.wildcard(now, r)
 	for _, c := range b.short {
 		if c.row == nil {
 			break
 		}
-		if now == r.arrived && !c.row.probing && (c.row.reportAt < 0 || now-c.row.reportAt > askOlder) {
+		if !c.row.probing && (c.row.reportAt < 0 || now-c.row.reportAt > askOlder) {
 			c.row.probing, c.row.probed = true, now
 			b.out.Probe(c.row.id)
 		}
-		wait = wait || c.row.probing
+		wait = wait || c.row.probing && c.row.probed == now
 	}
 	return wait
 }
@@ -237,11 +257,11 @@
 	return math.Max(2/float64(b.ready), homeSpread*(b.popular[r.Prefix]+1)/(b.popTotal+unseen))
 }
 
-// holders finds the replica that all gateways take for the home of r's
-// session, by weighted rendezvous within its prefix's homes, and the one that
+// holders finds the replicas that all gateways take for the first and the second
+// home of r's session, by weighted rendezvous within its prefix's homes, and the one that
 // this gateway knows to have served the session. Weights are by kind, in coarse
 // steps: weighted by what each has learned of a replica, gateways disagreed.
-func (b *Balancer) holders(r *request) (home, holder *row, tokens float64) {
+func (b *Balancer) holders(r *request) (home, second, holder *row, tokens float64) {
 	if r.Session != 0 {
 		if s, ok := b.sessions[r.Session]; ok {
 			if w := b.byID[s.at]; w != nil && w.state == MemberReady {
@@ -254,11 +274,11 @@
 		key = r.Prefix
 	}
 	if key == 0 {
-		return nil, holder, tokens
+		return nil, nil, holder, tokens
 	}
 	khash, phash := mix(key), mix(r.Prefix)
 	threshold := b.prefixThreshold(r)
-	best := math.Inf(1)
+	best, next := math.Inf(1), math.Inf(1)
 	for _, w := range b.rows {
 		if w.state != MemberReady {
 			continue
@@ -270,10 +290,13 @@
 			}
 		}
 		if score < best {
+			second, next = home, best
 			best, home = score, w
+		} else if score < next {
+			second, next = w, score
 		}
 	}
-	return home, holder, tokens
+	return home, second, holder, tokens
 }
 
 // standsOut is how many times slower than its kind a replica must seem to be
