Eighty gateways on the model; the token of a wait fits the simulator's wire

Cause: the token of a request's wait had bit 63 set (choice.go, timerAsked), the wire has tokens below 2^63. Change: bit 62. The model: a probe of a silent worker times out (its row stayed 'being asked' for ever), a test with 80 gateways and 60 workers (a zone lost, six in ten replaced), and a benchmark from 3 to 300 gateways.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,8 +45,9 @@
 	timerHedge
 	timerAim
 	timerBits = 2
-	// timerAsked, above the name, ends a request's wait for reports.
-	timerAsked uint64 = 1 << 63
+	// timerAsked, above the name, ends a request's wait for reports. The wire of the
+	// simulator has tokens below 1<<63.
+	timerAsked uint64 = 1 << 62
 )
 
 // learnRate is the weight of a new sample in slow averages (about 30 samples).
--- a/choice/sparse_test.go
+++ b/choice/sparse_test.go
@@ -42,6 +42,11 @@
 	if got := len(rec.acts); got == 0 || slices.ContainsFunc(rec.acts, func(a action) bool { return a.what == "dispatch" }) {
 		t.Fatalf("%d actions, a send among them: %v", got, rec.acts)
 	}
+	for _, a := range rec.acts {
+		if a.token >= 1<<63 {
+			t.Errorf("a timer's token %d, which the simulator's wire does not know", a.token)
+		}
+	}
 	ask := asked(rec)
 	if len(ask) != shortList {
 		t.Fatalf("asked %v, want %d workers", ask, shortList)
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -801,10 +801,12 @@
 		o := choice.Outcome{Replica: to, Status: choice.Served, Report: h.report()}
 		if h.w == nil {
 			o.Status = choice.ConnectFailed
-		} else if h.silent {
-			return
 		}
-		g.x.e.After(g.x.way(h.zone, g.zone), func(now choice.Micros) {
+		back := g.x.way(h.zone, g.zone)
+		if h.w != nil && h.silent { // as the gateway gives a probe up
+			o.Status, o.Report, back = choice.TimedOut, choice.Report{}, 250_000
+		}
+		g.x.e.After(back, func(now choice.Micros) {
 			o.Elapsed = now - began
 			g.m.ProbeEnded(now, o)
 		})
--- a/internal/fleet/model/model_test.go
+++ b/internal/fleet/model/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -58,6 +59,65 @@
 	}
 }
 
+// vast is a day of many gateways before sixty workers at a high load.
+func vast(gateways int, faults ...Fault) *Spec {
+	s := spec()
+	s.Gateways, s.For, s.Faults = gateways, 25_000_000, faults
+	s.Settings.PriceProbe = 0.002
+	s.Groups[0].Count, s.Groups[1].Count = 40, 20
+	for i := range s.Streams {
+		s.Streams[i].PerS *= 15
+	}
+	return s
+}
+
+// zoneLost is a zone of a third of the workers that is gone for a while and comes
+// back cold; replaced, six in ten that are replaced within seven seconds.
+func zoneLost() (f []Fault) {
+	for w := range 20 {
+		f = append(f, Fault{At: 8e6, For: 4e6, Kind: "kill", Worker: 40 + w})
+	}
+	return f
+}
+
+func replaced() (f []Fault) {
+	for w := range 36 {
+		f = append(f, Fault{At: 8e6 + int64(w/12)*3e6, For: 1e6, Kind: "kill", Worker: w})
+	}
+	return f
+}
+
+// Eighty gateways that ask for reports before a request goes out answer more in time
+// than by what each hears by itself, where workers are lost and come back cold.
+func TestEightyGatewaysSeeTheLoad(t *testing.T) {
+	for name, faults := range map[string][]Fault{"zone lost": zoneLost(), "replaced": replaced()} {
+		s := vast(80, faults...)
+		blind := play(t, s).All.WorthInTime()
+		s.Settings.MayProbe = true
+		asked := play(t, s).All.WorthInTime()
+		t.Logf("%s: in time %.3f without asking, %.3f with", name, blind, asked)
+		if asked < blind+0.05 {
+			t.Errorf("%s: in time %.3f without asking, %.3f with", name, blind, asked)
+		}
+	}
+}
+
+// BenchmarkGateways tells the worth in time of such days by the number of gateways.
+func BenchmarkGateways(b *testing.B) {
+	for _, n := range []int{3, 8, 14, 30, 80, 300} {
+		for _, ask := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/ask=%t", n, ask), func(b *testing.B) {
+				for range b.N {
+					zone, join := vast(n, zoneLost()...), vast(n, replaced()...)
+					zone.Settings.MayProbe, join.Settings.MayProbe = ask, ask
+					b.ReportMetric(play(b, zone).All.WorthInTime(), "zone-lost")
+					b.ReportMetric(play(b, join).All.WorthInTime(), "replaced")
+				}
+			})
+		}
+	}
+}
+
 // Through all troubles each request ends once (the model panics otherwise), and the
 // sums over classes, tenants and windows are the same.
 func TestConservation(t *testing.T) {
