Pages that the dynamic linker wrote to are not let go after the start

Seen while an idle gateway's memory was measured after the change to dynamic linking: the mapping of 4 KB that is read-only after relocation (GNU_RELRO) was let go with the clean ones, so that addresses of the C library in it (stderr, __libc_start_main) were the file's zeros. The C side of the runtime would have crashed where it writes to stderr. Lines: resident.go went by /proc/self/maps, which does not tell written pages. Change: smaps, and only mappings without pages of their own.

--- a/internal/lifecycle/resident.go
+++ b/internal/lifecycle/resident.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 
@@ -18,24 +19,43 @@
 	if err != nil {
 		return 0, err
 	}
-	maps, err := os.Open("/proc/self/maps")
+	maps, err := os.Open("/proc/self/smaps")
 	if err != nil {
 		return 0, err
 	}
 	defer maps.Close()
-	for in := bufio.NewScanner(maps); in.Scan(); {
+	for _, s := range cleanSpans(maps, self) {
+		if _, _, e := unix.Syscall(unix.SYS_MADVISE, s.from, s.to-s.from, unix.MADV_DONTNEED); e != 0 {
+			return total, e
+		}
+		total += s.to - s.from
+	}
+	return total, nil
+}
+
+type span struct{ from, to uintptr }
+
+// cleanSpans are the mappings of a file that hold nothing but what is in it: those
+// that cannot be written and have no page of their own. The dynamic linker writes
+// addresses to one that is read-only afterwards, and the file does not have those.
+func cleanSpans(smaps io.Reader, file string) (clean []span) {
+	var at *span
+	for in := bufio.NewScanner(smaps); in.Scan(); {
 		f := strings.Fields(in.Text())
-		if len(f) != 6 || f[5] != self || f[1][1] != '-' || f[1][3] != 'p' { // writable ones hold what only memory has
+		if len(f) == 3 && f[0] == "Anonymous:" && at != nil && f[1] == "0" {
+			clean = append(clean, *at)
+		}
+		var s span
+		if len(f) < 5 || len(f[1]) != 4 {
 			continue
 		}
-		var from, to uintptr
-		if _, err := fmt.Sscanf(f[0], "%x-%x", &from, &to); err != nil {
-			return total, err
+		if n, _ := fmt.Sscanf(f[0], "%x-%x", &s.from, &s.to); n != 2 {
+			continue
 		}
-		if _, _, e := unix.Syscall(unix.SYS_MADVISE, from, to-from, unix.MADV_DONTNEED); e != 0 {
-			return total, e
+		at = nil
+		if len(f) == 6 && f[5] == file && f[1][1] != 'w' && f[1][3] == 'p' {
+			at = &s
 		}
-		total += to - from
 	}
-	return total, nil
+	return clean
 }
