--- a/choice/guard.go
+++ b/choice/guard.go
@@ -83,6 +83,7 @@
 	}
 	clear(b.rows[len(keep):])
 	b.rows = keep
+	b.rehash()
 	b.refresh(now)
 }
 
@@ -202,7 +203,10 @@
 // guardFactor weighs a usable row's predicted load: a replica that errs wastes
 // attempts, one in another zone or without a connection costs a little.
 func (b *Balancer) guardFactor(now Micros, w *row, r *request) float64 {
-	f := 1 / b.warmth(now, w) // a cold one reads and streams as much slower
+	f := 1.0
+	if now < w.coldUntil { // a cold one reads and streams as much slower
+		f = 1 / b.warmth(now, w)
+	}
 	if w.errors > 0.02 {
 		f /= (1 - w.errors) * (1 - w.errors)
 	}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -34,6 +34,7 @@
 	a.parse(state)
 	b.zoneNo, b.kindNo, b.kinds = map[string]int{}, map[string]int{}, nil
 	b.archive(a)
+	b.rehash()
 	if a.finish(); a.err != nil {
 		return nil, fmt.Errorf("choice: snapshot: %w", a.err)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -50,7 +50,8 @@
 
 // table holds the rows, one for each replica that the server list names.
 type table struct {
-	rows   []*row // sorted by id, so that scans have one order everywhere
+	rows   []*row   // sorted by id, so that scans have one order everywhere
+	hashes []uint64 // theirs: a scan of them alone passes by most rows
 	byID   map[ReplicaID]*row
 	zoneNo map[string]int
 	kindNo map[string]int
@@ -84,31 +85,41 @@
 
 // row is one replica's line in the table.
 type row struct {
-	id    ReplicaID
-	state MemberState
-	zone  int
-	kind  int
-	cell  int64
-	size  float64 // its registered size against others; 0: not told
-	since Micros
-	hash  uint64
-
-	held     float64 // tokens held by the last report
-	reportAt Micros  // when that came; -1: never
-	ratio    float64 // memory share a token
-	ratioN   float64
-
-	conns  int // connections believed open, and when one was last in use
-	usedAt Micros
-	open   []*attempt // the ledger: own attempts out
-	charge float64    // sum of their charges
-	unseen float64    // that of those too young for the last report
+	// What each pick reads of each row stands first, in two cache lines: over thousands
+	// of rows the memory's pace is the scan's.
+	hash      uint64
+	reportAt  Micros     // when the last report came; -1: never
+	held      float64    // tokens held by it
+	slow      float64    // slowness against the fleet, 1 = mean
+	charge    float64    // sum of the charges of own attempts out
+	unseen    float64    // that of those too young for the last report
+	coldUntil Micros     // it is cold from its start up to then
+	retryAt   Micros     // no sends before, unless nothing else is left
+	open      []*attempt // the ledger: own attempts out
+	conns     int        // connections believed open, and when one was last in use
+	usedAt    Micros
+	errors    float64 // fading share of attempts that failed
+	zone      int
+	kind      int
+	fails     int // in a row
+	id        ReplicaID
+	state     MemberState
+	probing   bool
+
+	cell   int64
+	size   float64 // its registered size against others; 0: not told
+	since  Micros
+	ratio  float64 // memory share a token
+	ratioN float64
 
 	slowNum, slowDen float64
 	slowAt           Micros
-	slow             float64 // slowness against the fleet, 1 = mean
 
-	health
+	live      float64 // load by the last live weight
+	probed    Micros
+	coldFrom  Micros
+	coldSlot  Micros // the span that coldSpent counts in
+	coldSpent float64
 }
 
 // candidate is a row as a pick weighed it.
@@ -152,20 +163,6 @@
 	zoneRest        map[int]Micros
 }
 
-// health is a row's part of the guard.
-type health struct {
-	live    float64 // load by the last live weight
-	fails   int     // in a row
-	errors  float64 // fading share of attempts that failed
-	retryAt Micros  // no sends before, unless nothing else is left
-	probing bool
-	probed  Micros
-
-	coldFrom, coldUntil Micros
-	coldSlot            Micros // the span that coldSpent counts in
-	coldSpent           float64
-}
-
 // check tells why the settings cannot be served.
 func (s *Settings) check() error {
 	switch {
@@ -197,6 +194,14 @@
 	t.myZone = t.zone(b.s.Zone)
 }
 
+// rehash follows a change of the rows.
+func (t *table) rehash() {
+	t.hashes = t.hashes[:0]
+	for _, w := range t.rows {
+		t.hashes = append(t.hashes, w.hash)
+	}
+}
+
 func (t *table) zone(name string) int {
 	n, ok := t.zoneNo[name]
 	if !ok {
--- a/choice/table.go
+++ b/choice/table.go
@@ -120,8 +120,8 @@
 		perReplica = b.sendRate * float64(b.s.Gateways) / float64(b.ready)
 	}
 	sights := (b.popular[r.Prefix] / math.Max(1, b.popTotal)) * perReplica / math.Min(1, threshold)
-	peers := float64(b.s.Gateways-1) / float64(b.s.Gateways)
-	invLife := 1 / math.Max(1, b.lifetime)
+	peers := float64(b.s.Gateways-1) / float64(b.s.Gateways) * b.meanLoad
+	crowd, invLife := b.crowd(), 1/math.Max(1, b.lifetime)
 	sparse := b.sparse()
 	b.short = [shortList]candidate{}
 	last := b.lastResort(now, r)
@@ -146,10 +146,10 @@
 		fresh, arrivals := 0.0, perReplica*b.lifetime/1e6
 		if w.reportAt >= 0 {
 			age := float64(now-w.reportAt) + float64(reportLag)/2
-			fresh = math.Max(0, 1-age*invLife/2) / b.crowd()
+			fresh = math.Max(0, 1-age*invLife/2) / crowd
 			arrivals = math.Min(arrivals, perReplica*age/1e6)
 		}
-		usual, reported := peers*b.meanLoad/w.slow, w.held
+		usual, reported := peers/w.slow, w.held
 		switch {
 		case !sparse:
 		case now < w.coldUntil: // it holds what it can bear, or nothing would go there
@@ -160,7 +160,15 @@
 		held := (1-fresh)*(usual+w.charge) + fresh*(reported+w.unseen)
 		// Gateways that read one report must not all pick one replica: the
 		// sends of peers that it cannot show yet are a noise of their own.
-		noise := fresh * b.random() * b.meanHold * math.Sqrt(arrivals)
+		noise := fresh * b.random() * b.meanHold
+		// Noise and guard only add: most rows need neither to be behind the short list.
+		if worst := &b.short[shortList-1]; worst.row != nil && b.judge == nil &&
+			w.slow*(held+hold)+readCost*(prompt-kept) >= worst.score {
+			continue
+		}
+		if noise > 0 {
+			noise *= math.Sqrt(arrivals)
+		}
 		held += noise
 		// Slowness weighs what is held; weighing the reading too would make every
 		// gateway leave homes on slower kinds for whatever fast replica it liked.
@@ -279,16 +287,8 @@
 	khash, phash := mix(key), mix(r.Prefix)
 	threshold := b.prefixThreshold(r)
 	best, next := math.Inf(1), math.Inf(1)
-	for _, w := range b.rows {
-		if w.state != MemberReady {
-			continue
-		}
-		score := -math.Log(unit(mix(khash^w.hash))+1e-18) * b.kinds[w.kind].share
-		if threshold < 1 {
-			if u := unit(mix(phash ^ w.hash)); u >= threshold {
-				score += 1e6 * (1 + u) // no home of the prefix: only if there is none at all
-			}
-		}
+	enter := func(w *row, over float64) {
+		score := -math.Log(unit(mix(khash^w.hash))+1e-18)*b.kinds[w.kind].share + over
 		if score < best {
 			second, next = home, best
 			best, home = score, w
@@ -296,6 +296,21 @@
 			second, next = w, score
 		}
 	}
+	for i, hash := range b.hashes {
+		if threshold >= 1 || unit(mix(phash^hash)) < threshold {
+			if w := b.rows[i]; w.state == MemberReady {
+				enter(w, 0)
+			}
+		}
+	}
+	if second != nil {
+		return home, second, holder, tokens
+	}
+	for _, w := range b.rows { // no homes of the prefix: only if there are none at all
+		if u := unit(mix(phash ^ w.hash)); w.state == MemberReady && threshold < 1 && u >= threshold {
+			enter(w, 1e6*(1+u))
+		}
+	}
 	return home, second, holder, tokens
 }
 
