archknot fleet fit: a plan's traffic from recordings; fleet scale grows a plan

Need: experiments are to be fed with recorded traffic, and to be tried at ten or a hundred times its size. Change: internal/fleet/fit puts sessions together over the captures of all gateways and estimates rate, turns, thinking, lengths, spread, shared beginnings and bursts, each with its 95% interval, and says what recordings do not tell; archknot fleet fit prints them, as JSON or as a plan's sections. archknot fleet scale grows rates, workers and gateways of a plan. Seen on the way: on a recording of 60 s with thinking of 5 s, 9.1 turns were estimated for 4: of the turns near the end those that went on soon counted alone. Turns near the end count for neither now.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -7,14 +7,19 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"text/tabwriter"
 	"time"
 
+	"archknot/internal/capture"
 	"archknot/internal/conf"
 	"archknot/internal/fleet/emulate"
+	"archknot/internal/fleet/fit"
 )
 
 type fleetCmd struct {
 	Emulate emulateCmd `cmd:"" help:"Run a plan's fleet on loopback sockets in real time, and its traffic against gateways."`
+	Fit     fitCmd     `cmd:"" help:"Estimate a plan's traffic from recordings."`
+	Scale   scaleCmd   `cmd:"" help:"Write a plan for a fleet so many times as large."`
 }
 
 type emulateCmd struct {
@@ -79,3 +84,95 @@
 	}
 	return nil
 }
+
+type fitCmd struct {
+	Paths []string `arg:"" help:"Captures of all gateways of one fleet: segments, or folders of them."`
+	Plan  bool     `help:"Print the [traffic] sections of a plan."`
+	JSON  bool     `name:"json" help:"Print JSON."`
+}
+
+func (fitCmd) Help() string {
+	return "Each estimate stands with its 95% interval and the number of observations; what recordings do not tell is said below.\n" +
+		"Give the recordings of all gateways: sessions go from one to another. Exit code 1: no request was recorded.\n\n" +
+		"Example:\n  archknot fleet fit /var/lib/archknot/n1 /var/lib/archknot/n2 --plan > week.plan"
+}
+
+func (c *fitCmd) Run(s *streams) error {
+	runs, err := capture.Find(c.Paths...)
+	if err != nil {
+		return err
+	}
+	r, err := fit.Read(runs)
+	if err != nil {
+		return err
+	}
+	got := fit.Streams(r.Turns, r.From, r.To)
+	switch {
+	case c.JSON:
+		err = s.print(struct {
+			Seconds float64      `json:"seconds"`
+			Gaps    int          `json:"gaps"`
+			Streams []fit.Stream `json:"streams"`
+		}{float64(r.To-r.From) / 1e6, r.Gaps, got})
+	case c.Plan:
+		_, err = fmt.Fprint(s.out, fit.Plan(got))
+	default:
+		err = c.table(s, r, got)
+	}
+	if err != nil {
+		return err
+	}
+	if len(got) == 0 {
+		return no
+	}
+	return nil
+}
+
+func (c *fitCmd) table(s *streams, r *fit.Recorded, got []fit.Stream) error {
+	fmt.Fprintf(s.out, "seconds=%.0f requests=%d gaps=%d\n", float64(r.To-r.From)/1e6, len(r.Turns), r.Gaps)
+	for _, t := range got {
+		fmt.Fprintf(s.out, "\nclass=%s tenant=%s requests=%d\n", t.Class, t.Tenant, t.Requests)
+		w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+		for _, v := range []struct {
+			what string
+			v    fit.Value
+		}{{"rate, requests a second", t.Rate}, {"turns of a session", t.Turns}, {"think, seconds", t.Think}, {"prompt, new tokens", t.Prompt}, {"answer, tokens", t.Answer},
+			{"spread", t.Spread}, {"prefixes", t.Prefixes}, {"shared, tokens", t.Shared}, {"dispersion of beginnings", t.Dispersion}} {
+			fmt.Fprintf(w, "  %s\t%s\n", v.what, v.v)
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		for _, u := range t.Untold {
+			fmt.Fprintf(s.out, "  not told: %s\n", u)
+		}
+	}
+	return nil
+}
+
+type scaleCmd struct {
+	Plan         string  `arg:"" help:"The plan."`
+	Times        float64 `required:"" placeholder:"N" help:"How many times as large."`
+	KeepGateways bool    `help:"Leave the number of gateways as it is."`
+}
+
+func (scaleCmd) Help() string {
+	return "Rates, workers and gateways grow, so that each worker's load stays; shared beginnings stay as many. The plan goes to standard output.\n\n" +
+		"Example:\n  archknot fleet scale week.plan --times 100 > large.plan"
+}
+
+func (c *scaleCmd) Run(s *streams) error {
+	if _, err := conf.LoadPlan(c.Plan); err != nil {
+		return err
+	}
+	text, err := os.ReadFile(c.Plan)
+	if err != nil {
+		return err
+	}
+	out, err := conf.ScalePlan(string(text), c.Times, c.KeepGateways)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.Plan, err)
+	}
+	_, err = fmt.Fprint(s.out, out)
+	return err
+}
--- /dev/null
+++ b/internal/fleet/fit/fit_test.go
@@ -0,0 +1,112 @@
+package fit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"archknot/choice"
+	"archknot/internal/capture"
+	"archknot/internal/fleet/model"
+	"archknot/internal/fleet/worker"
+)
+
+// recorded plays a fleet with known traffic and reads what its gateways recorded.
+func recorded(t *testing.T, seed uint64, think float64) (*Recorded, []model.Stream) {
+	t.Helper()
+	p := worker.Params{Slots: 64, Queue: 64, Memory: 400_000, Block: 16, Chunk: 2048, Base: 4000, PerSequence: 50, PerContext: 10, PerPrompt: 10_000,
+		Start: 1_000_000, ColdFor: 1_000_000, ColdSlow: 2, Connect: 100}
+	s := &model.Spec{Seed: seed, For: 120_000_000, Warm: 5_000_000, Gateways: 3, Near: 250, Far: 10_000, PollWait: 10_000_000, Capture: t.TempDir(),
+		Settings: choice.Settings{MaxAttempts: 3, Tick: 2000, MayCancel: true, AskRegistry: true, ReportVia: choice.ReportInline, StartCapacity: 0.3,
+			FallMultiple: 3, ColdFor: 1_000_000, FallSpan: 1_500_000, ConnStreams: 1, ConnIdle: 60_000_000,
+			Classes: []choice.Class{{Name: "bulk", Aim: 4_000_000, TokenAim: 300_000, Deadline: 10_000_000, Worth: 1, Stream: true},
+				{Name: "chat", Aim: 4_000_000, TokenAim: 300_000, Deadline: 10_000_000, Worth: 2, Stream: true}}},
+		Groups: []model.Group{{Name: "k", Zone: "a", Count: 8, Weight: 1, Params: p}},
+		Streams: []model.Stream{{Class: "chat", Tenant: "t", PerS: 12, Turns: 3, Think: think, Prompt: 200, Answer: 60, Spread: 0.5, MaxOut: 600, Prefixes: 12, Shared: 512},
+			{Class: "bulk", Tenant: "u", PerS: 4, Turns: 1, Prompt: 900, Answer: 40, Spread: 0.5, MaxOut: 800}}}
+	if _, err := model.Run(s); err != nil {
+		t.Fatal(err)
+	}
+	runs, err := capture.Find(s.Capture+"/gateway0", s.Capture+"/gateway1", s.Capture+"/gateway2")
+	if err != nil || len(runs) != 3 {
+		t.Fatal(len(runs), err)
+	}
+	r, err := Read(runs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, s.Streams
+}
+
+// Traffic that is known, recorded by three gateways that serve each other's sessions:
+// nine in ten of the intervals or more hold what it was made with.
+func TestKnownTrafficIsFound(t *testing.T) {
+	in, all := 0, 0
+	var off []string
+	for seed := range uint64(8) {
+		think := 2.0
+		if seed%2 == 1 { // half of the recording is over before a session counts as ended
+			think = 8
+		}
+		r, truth := recorded(t, seed+1, think)
+		got := Streams(r.Turns, r.From, r.To)
+		if len(got) != 2 {
+			t.Fatalf("%d streams", len(got))
+		}
+		for i, s := range []Stream{got[1], got[0]} {
+			w := truth[i]
+			if s.Class != w.Class || s.Tenant != w.Tenant {
+				t.Fatalf("%s of %s", s.Class, s.Tenant)
+			}
+			for name, c := range map[string]struct {
+				got  Value
+				want float64
+			}{"rate": {s.Rate, w.PerS}, "turns": {s.Turns, w.Turns}, "think": {s.Think, w.Think}, "prompt": {s.Prompt, w.Prompt}, "answer": {s.Answer, w.Answer},
+				"spread": {s.Spread, w.Spread}, "prefixes": {s.Prefixes, float64(w.Prefixes)}, "shared": {s.Shared, float64(w.Shared)}, "dispersion": {s.Dispersion, 1}} {
+				if c.want == 0 || c.got.N == 0 {
+					if c.got.N > 0 {
+						t.Errorf("%s of %s: %v where there is none", name, s.Class, c.got)
+					}
+					continue
+				}
+				all++
+				if c.got.Low <= c.want && c.want <= c.got.High {
+					in++
+				} else {
+					off = append(off, fmt.Sprintf("seed %d %s %s: %v, made with %v", seed+1, s.Class, name, c.got, c.want))
+				}
+				if c.got.Value > 1.4*c.want || c.got.Value < c.want/1.4 {
+					t.Errorf("%s of %s: %v, made with %v", name, s.Class, c.got, c.want)
+				}
+			}
+		}
+	}
+	t.Logf("%d of %d intervals hold the truth", in, all)
+	if all < 100 || in < all*9/10 {
+		t.Errorf("%d of %d intervals hold the truth:\n%s", in, all, strings.Join(off, "\n"))
+	}
+}
+
+// Arrivals that come in bursts are told from those by chance; what was cut off, not
+// served or never seen again is named and does not count as an end.
+func TestWhatARecordingDoesNotTell(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	var turns []Turn
+	for s := range 200 {
+		at := choice.Micros(s/20) * 10_000_000 // twenty at once, each ten seconds
+		turns = append(turns, Turn{At: at + choice.Micros(rng.IntN(1000)), End: at + 500_000, Class: "c", Prompt: 100, Made: 10})
+	}
+	turns = append(turns, Turn{At: 85_000_000, End: 86_000_000, Class: "c", Session: 7, Prompt: 100, Made: 10},
+		Turn{At: 87_000_000, Class: "c", Session: 7, Prompt: 220})
+	s := Streams(turns, 0, 100_000_000)[0]
+	if s.Dispersion.Low < 2 {
+		t.Errorf("bursts of twenty: dispersion %v", s.Dispersion)
+	}
+	if s.Turns.N != 201 || s.Turns.Value > 1.01 {
+		t.Errorf("turns %v: one session went on, and is then not served", s.Turns)
+	}
+	if said := strings.Join(s.Untold, "\n"); !strings.Contains(said, "1 of 202 requests") {
+		t.Errorf("not told: %s", said)
+	}
+}
