The model's gateways go on watching; a mass kill before a registry that answers in turn

Need: a mass kill and restart of eighty gateways is to be shown on the model. Cause: a gateway of the model watched the registry for one answer (model.go, answer), while the program's watch goes on by itself; and where its turn had not come it was given the list as told, and never asked. Change: the watch goes on; a gateway whose turn has not come begins with the list as saved; calls of the registry take their time and wait for 2 s at most (AskEach); the fault 'restart' kills a part of the gateways with what they have in hand.

--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -65,6 +65,7 @@
 	"reset":    "answers break off after two tokens (the emulator alone)",
 	"spoil":    "answers cannot be read after two tokens (the emulator alone)",
 	"registry": "the registry does not answer",
+	"restart":  "a part of Factor of all gateways is killed, and they come back after For with the list as they had it",
 	"burst":    "arrivals come Factor times as often",
 	"hot":      "a part of Factor of all requests share one beginning",
 }
@@ -81,6 +82,7 @@
 	Faults    []Fault
 	Near, Far choice.Micros // one way within a zone, and between two; a fifth more or less
 	PollWait  choice.Micros // what a watch of the registry waits at most
+	AskEach   choice.Micros // the registry's time for a call that begins a watch; 0: none
 	Contracts []contract.Terms
 	Book      contract.Settings
 	Capture   string // folder of captures; "": none
@@ -136,10 +138,13 @@
 	gateways []*gateway
 	workers  []*host
 	version  int64
-	changed  []change // the registry's log
-	deaf     bool     // the registry does not answer
+	changed  []change      // the registry's log
+	deaf     bool          // the registry does not answer
+	askFree  choice.Micros // when it has worked off the calls that came
 	net      *rand.Rand
 	traffic  []*traffic
+	zones    []string
+	kinds    []string
 	burst    float64
 	hot      float64
 	jobs     uint64
@@ -191,7 +196,7 @@
 			x.workers = append(x.workers, h)
 		}
 	}
-	x.version = 1
+	x.version, x.zones, x.kinds = 1, zones, kinds
 	for i := range s.Gateways {
 		g, err := x.newGateway(i, zones, kinds)
 		if err != nil {
@@ -259,6 +264,12 @@
 		switch f.Kind {
 		case "registry":
 			x.deaf = true
+		case "restart":
+			for i := range x.gateways {
+				if float64(i%100) < 100*f.Factor || f.Factor >= 1 {
+					x.gateways[i].kill(f.For)
+				}
+			}
 		case "burst":
 			x.burst = f.Factor
 		case "hot":
@@ -468,8 +479,13 @@
 	watch    int   // counts them
 	timers   capture.Timers
 	rng      *rand.Rand
+	dead     bool // killed: what comes for it is nobody's
+	lives    int
 }
 
+// askLimit is how long a call may wait for its turn at the registry.
+const askLimit choice.Micros = 2_000_000
+
 // request is one at a gateway.
 type request struct {
 	in       choice.Request
@@ -491,6 +507,43 @@
 	wasted   int // attempts that may have run and served nobody
 }
 
+// kill ends a gateway at once, with all that it has in hand, and has it come back with
+// the list that it had.
+func (g *gateway) kill(after choice.Micros) {
+	x := g.x
+	if g.dead || x.s.Capture != "" { // a recording has one life
+		return
+	}
+	g.dead = true
+	ids := make([]choice.RequestID, 0, len(g.requests))
+	for id := range g.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		r := g.requests[id]
+		for _, a := range r.attempts {
+			if !a.over {
+				a.over = true
+				a.cancel()
+			}
+		}
+		if !r.done {
+			r.done = true
+			x.ends(x.e.Now(), r, "broken", 0)
+		}
+	}
+	x.e.After(max(1, after), func(choice.Micros) {
+		next, err := x.newGateway(g.no, x.zones, x.kinds)
+		if err != nil {
+			panic(err) // the same settings were good before
+		}
+		next.lives, next.seen = g.lives+1, g.seen
+		x.gateways[g.no] = next
+		next.start()
+	})
+}
+
 func (x *sim) newGateway(i int, zones, kinds []string) (*gateway, error) {
 	s := x.s.Settings
 	s.Self, s.Gateways, s.Zones, s.Kinds = i, x.s.Gateways, zones, kinds
@@ -544,7 +597,19 @@
 	for _, h := range g.x.workers {
 		list.Members = append(list.Members, g.x.member(h))
 	}
-	g.seen = g.x.version
+	if !g.waiting { // its turn at the registry has not come
+		list.Kind = choice.ListSaved
+	}
+	if g.lives == 0 {
+		g.seen = g.x.version
+	} else { // what has changed since it does not know
+		for _, c := range g.x.changed {
+			if c.version > g.seen {
+				list.Members[c.member.Replica-1].State = choice.MemberReady
+				list.Members[c.member.Replica-1].Since = 0
+			}
+		}
+	}
 	g.m.ListChanged(now, list)
 }
 
@@ -557,6 +622,9 @@
 }
 
 func (g *gateway) answer(now choice.Micros) {
+	if g.dead {
+		return
+	}
 	l := choice.ServerList{Kind: choice.ListDelta, Version: g.x.version}
 	for _, c := range g.x.changed {
 		if c.version > g.seen {
@@ -565,6 +633,8 @@
 	}
 	g.seen = g.x.version
 	g.m.ListChanged(now, l)
+	g.waiting = true // the gateway's watch goes on by itself
+	g.watched()
 }
 
 // WatchRegistry: choice.Sink.
@@ -573,6 +643,27 @@
 		return
 	}
 	g.waiting = true
+	if each := g.x.s.AskEach; each > 0 {
+		// Calls are answered in turn; it works for those too that it then fails.
+		now := g.x.e.Now()
+		g.x.askFree = max(g.x.askFree, now) + each
+		if g.x.askFree > now+askLimit {
+			g.x.res.AsksFailed++
+			g.x.e.After(askLimit, func(now choice.Micros) {
+				if g.waiting = false; !g.dead {
+					g.m.ListChanged(now, choice.ServerList{Kind: choice.ListFailed})
+				}
+			})
+			return
+		}
+		g.x.e.At(g.x.askFree, func(choice.Micros) { g.watched() })
+		return
+	}
+	g.watched()
+}
+
+// watched is a watch that has begun.
+func (g *gateway) watched() {
 	g.watch++
 	watch := g.watch
 	g.x.e.After(0, func(choice.Micros) { g.changed() })
@@ -581,7 +672,7 @@
 			return
 		}
 		g.waiting = false
-		if g.x.deaf {
+		if g.x.deaf && !g.dead {
 			g.m.ListChanged(now, choice.ServerList{Kind: choice.ListFailed})
 			return
 		}
@@ -608,6 +699,9 @@
 	at := g.x.e.Now() + delay
 	g.timers.Set(at, token)
 	g.x.e.At(at, func(now choice.Micros) {
+		if g.dead {
+			return
+		}
 		g.timers.Fired(token)
 		g.m.TimerFired(now, token)
 	})
@@ -615,6 +709,10 @@
 
 // arrive is a request of a client.
 func (g *gateway) arrive(now choice.Micros, r *request) {
+	if g.dead {
+		g.x.ends(now, r, "failed", 0)
+		return
+	}
 	for g.requests[g.next] != nil || g.next == 0 {
 		g.next++
 	}
@@ -807,8 +905,9 @@
 			o.Status, o.Report, back = choice.TimedOut, choice.Report{}, 250_000
 		}
 		g.x.e.After(back, func(now choice.Micros) {
-			o.Elapsed = now - began
-			g.m.ProbeEnded(now, o)
+			if o.Elapsed = now - began; !g.dead {
+				g.m.ProbeEnded(now, o)
+			}
 		})
 	})
 }
--- a/internal/fleet/model/model_test.go
+++ b/internal/fleet/model/model_test.go
@@ -102,6 +102,26 @@
 	}
 }
 
+// Seven in ten of eighty gateways are killed at once while a zone is lost, and the
+// registry answers ten calls a second. All have their watch again in their turns, with
+// next to no call failed; all at once, some hundreds fail and most never hear of the
+// workers that come back.
+func TestMassKillDoesNotStallTheRegistry(t *testing.T) {
+	s := vast(80, append(zoneLost(), Fault{At: 9e6, For: 1_600_000, Kind: "restart", Worker: -1, Factor: 0.7})...)
+	s.Settings.MayProbe, s.AskEach = true, 100_000
+	r := play(t, s)
+	t.Logf("%d calls failed, %.3f in time, %v", r.AsksFailed, r.All.WorthInTime(), r.All.Ends)
+	if r.AsksFailed > 8 {
+		t.Errorf("%d calls of the registry failed", r.AsksFailed)
+	}
+	if w := r.All.WorthInTime(); w < 0.7 {
+		t.Errorf("%.3f in time", w)
+	}
+	if n := r.All.Ends["broken"]; n == 0 {
+		t.Error("no request was lost with its gateway: nothing was killed")
+	}
+}
+
 // BenchmarkGateways tells the worth in time of such days by the number of gateways.
 func BenchmarkGateways(b *testing.B) {
 	for _, n := range []int{3, 8, 14, 30, 80, 300} {
--- a/internal/fleet/model/result.go
+++ b/internal/fleet/model/result.go
@@ -36,15 +36,17 @@
 	Attempts int64             `json:"attempts"`
 	Wasted   int64             `json:"wasted"` // attempts that may have run and served nobody
 	Events   uint64            `json:"events"`
-	Steps    int64             `json:"steps"`
-	Made     int64             `json:"made"` // tokens, by all workers
-	Read     int64             `json:"read"`
-	Reused   int64             `json:"reused"` // tokens that were kept and not read again
-	Preempt  int64             `json:"preempted"`
-	Declined int64             `json:"declined"`
-	Busy     float64           `json:"busy"` // of the workers' time
-	s        *Spec
-	workers  int
+	// AsksFailed counts calls of the registry that waited for too long.
+	AsksFailed int     `json:"asks_failed"`
+	Steps      int64   `json:"steps"`
+	Made       int64   `json:"made"` // tokens, by all workers
+	Read       int64   `json:"read"`
+	Reused     int64   `json:"reused"` // tokens that were kept and not read again
+	Preempt    int64   `json:"preempted"`
+	Declined   int64   `json:"declined"`
+	Busy       float64 `json:"busy"` // of the workers' time
+	s          *Spec
+	workers    int
 }
 
 // Window is what ended of what was sent within a span.
