A test of versions waits for the history's line, which is kept after the fact

Cause: the order is answered once the version is out of force, and the store keeps the line after that.

--- a/internal/lifecycle/stream_test.go
+++ b/internal/lifecycle/stream_test.go
@@ -124,17 +124,18 @@
 	if err := control.Call(t.Context(), socket, "config/rollback", RollbackOrder{Reason: "a test"}, &st); err != nil || st.Version != 0 {
 		t.Errorf("rollback: %+v %v", st, err)
 	}
-	var lines []confstream.Line
-	if err := control.Call(t.Context(), socket, "config/history", struct{}{}, &lines); err != nil {
-		t.Error(err)
-	}
-	var what []string
-	for _, l := range lines {
-		what = append(what, fmt.Sprint(l.Version, l.What))
-	}
-	if got := strings.Join(what, " "); got != "1taken 2taken 3taken 3givenback" {
-		t.Error(got)
-	}
+	// The version is given back before the line about it is kept.
+	wait("the history of it all", func() bool {
+		var lines []confstream.Line
+		if err := control.Call(t.Context(), socket, "config/history", struct{}{}, &lines); err != nil {
+			t.Fatal(err)
+		}
+		var what []string
+		for _, l := range lines {
+			what = append(what, fmt.Sprint(l.Version, l.What))
+		}
+		return strings.Join(what, " ") == "1taken 2taken 3taken 3givenback"
+	})
 	signal(syscall.SIGTERM)
 	if err := <-ended; err != nil {
 		t.Fatal(err)
