Read over: terms of a pick add up where a report is not believed; one way each

Seen on reading the change over: above ten gateways the terms that replay explains gave a report as it came, while the pick went by what of it is believed, so that they did not make up the score (table.go, Reported); a test with a judge fails without the mend.

--- a/choice/judge.go
+++ b/choice/judge.go
@@ -29,7 +29,7 @@
 	Worker   ReplicaID
 	Score    float64
 	Fresh    float64 // weight of the report, by its age and the number of gateways
-	Reported float64 // held by the last report
+	Reported float64 // held by the last report, as far as that is believed
 	Unseen   float64 // own charges too young for that report
 	Peers    float64 // what other gateways are taken to have out there
 	Charge   float64 // own charges out
--- a/choice/sparse_test.go
+++ b/choice/sparse_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math"
 	"slices"
 	"testing"
 )
@@ -122,12 +123,10 @@
 			r := req(id)
 			r.Session, r.Prefix, r.PrefixTokens = uint64(id)*7919, uint64(id%50+1), 500
 			b.RequestArrived(now, r)
-			sends := rec.acts
 			for _, w := range asked(&recorder{acts: slices.Clone(rec.acts)}) {
 				b.ProbeEnded(now+2000, Outcome{Replica: w, Status: Served, Report: load(8 * b.warmth(now, b.byID[w]))})
 			}
-			sends = rec.acts
-			for _, a := range sends {
+			for _, a := range slices.Clone(rec.acts) {
 				if a.what == "dispatch" {
 					total++
 					sent[a.to]++
@@ -279,3 +278,39 @@
 		t.Errorf("%.0f%% of gateways agree on a session's home", 100*share)
 	}
 }
+
+// adds is a judge that checks that a pick's terms make up its scores.
+type adds struct {
+	t *testing.T
+	n int
+}
+
+func (adds) Admit(_ RequestID, own bool) bool { return own }
+func (adds) Again(_ RequestID, own bool) bool { return own }
+func (j *adds) Pick(_ RequestID, own ReplicaID, any bool, weighed []Terms) (ReplicaID, bool) {
+	for _, w := range weighed {
+		held := (1-w.Fresh)*(w.Peers+w.Charge) + w.Fresh*(w.Reported+w.Unseen) + w.Noise
+		score := (w.Slow*(held+w.Hold) + w.Read*(w.Prompt-w.Kept)) * w.Guard
+		if math.Abs(score-w.Score) > 1e-9*w.Score {
+			j.t.Errorf("worker %d: terms make %.1f, its score is %.1f", w.Worker, score, w.Score)
+		}
+		j.n++
+	}
+	return own, any
+}
+
+// What replay explains is what was weighed, also where a report is not believed.
+func TestTermsMakeUpTheScore(t *testing.T) {
+	b, _ := start(t, eighty(), fleet(40)...)
+	j := &adds{t: t}
+	b.SetJudge(j)
+	b.meanHold, b.meanLoad = 1200, 9600
+	for _, w := range b.rows { // a third of them idle
+		b.ProbeEnded(110*sec, Outcome{Replica: w.id, Status: Served, Report: load(float64(w.id % 3 * 6))})
+	}
+	b.meanLoad = 9600
+	b.RequestArrived(110*sec, req(1))
+	if j.n != 40 {
+		t.Errorf("%d workers were weighed", j.n)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -58,15 +58,16 @@
 	myZone int
 	kinds  []kindStats
 
-	ready      int                  // replicas listed as ready
-	meanLoad   float64              // mean of slowness x held tokens over fresh rows
-	shareRatio float64              // fleet mean of memory share a token
-	liveScale  float64              // tokens held for each unit of a live weight's load
-	short      [shortList]candidate // of the last pick
-	lifetime   float64              // mean time from dispatch to end: how long a report says something
-	meanHold   float64              // mean tokens held for a request
-	meanCharge float64              // mean charge of a dispatch
-	openTokens float64              // sum of hold tokens of all own attempts out
+	ready      int     // replicas listed as ready
+	meanLoad   float64 // mean of slowness x held tokens over fresh rows
+	shareRatio float64 // fleet mean of memory share a token
+	liveScale  float64 // tokens held for each unit of a live weight's load
+	lifetime   float64 // mean time from dispatch to end: how long a report says something
+	meanHold   float64 // mean tokens held for a request
+	meanCharge float64 // mean charge of a dispatch
+	openTokens float64 // sum of hold tokens of all own attempts out
+
+	short [shortList]candidate // of the last pick
 
 	sessions  map[uint64]session
 	sessRing  []uint64
--- a/choice/table.go
+++ b/choice/table.go
@@ -125,10 +125,13 @@
 	}
 	sights := (b.popular[r.Prefix] / math.Max(1, b.popTotal)) * perReplica / math.Min(1, threshold)
 	peers := float64(b.s.Gateways-1) / float64(b.s.Gateways) * b.meanLoad
-	crowd, invLife := b.crowd(), 1/math.Max(1, b.lifetime)
-	sparse, read, trust := b.sparse(), readCost, b.keptTrust
-	if sparse { // moved for every small difference, sessions scatter and nothing is kept
-		read, trust = readCost*readMore, math.Max(trust, trustLeast)
+	invLife := 1 / math.Max(1, b.lifetime)
+	// A report that reaches all gateways alike is shared among them. Where each asks for
+	// its own as it needs them, no two have the same; and moved for every small
+	// difference, sessions scatter and nothing is kept.
+	sparse, crowd, read, trust := b.sparse(), float64(b.s.Gateways), readCost, b.keptTrust
+	if sparse {
+		crowd, read, trust = 1, readCost*readMore, math.Max(trust, trustLeast)
 	}
 	b.short = [shortList]candidate{}
 	last := b.lastResort(now, r)
@@ -182,7 +185,7 @@
 		guard := b.guardFactor(now, w, r)
 		score := (w.slow*(held+hold) + read*(prompt-kept)) * guard
 		if b.judge != nil {
-			b.weighed = append(b.weighed, Terms{Worker: w.id, Score: score, Fresh: fresh, Reported: w.held, Unseen: w.unseen,
+			b.weighed = append(b.weighed, Terms{Worker: w.id, Score: score, Fresh: fresh, Reported: reported, Unseen: w.unseen,
 				Peers: usual, Charge: w.charge, Noise: noise, Slow: w.slow, Hold: hold, Read: read, Prompt: prompt,
 				Kept: kept, Guard: guard, Holder: w == holder, Home: w == home})
 		}
@@ -205,15 +208,6 @@
 	return b.s.Gateways > sparseFrom && b.s.MayProbe && b.s.ReportVia != ReportNone
 }
 
-// crowd is among how many a report is shared that reaches all gateways alike. Where
-// each asks for its own as it needs them, no two have the same.
-func (b *Balancer) crowd() float64 {
-	if b.sparse() {
-		return 1
-	}
-	return float64(b.s.Gateways)
-}
-
 // wildcard puts a worker drawn by chance in the last place of the short list: of one
 // that no reckoning favours, as of one that is new, nothing would ever be heard.
 func (b *Balancer) wildcard(now Micros, r *request) {
--- a/internal/conf/scale.go
+++ b/internal/conf/scale.go
@@ -4,20 +4,32 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
 
-// scaled are the keys that grow with a fleet, by section, with their defaults.
+// scaled are the keys that grow with a fleet, by section.
 var scaled = map[string]struct {
-	key, otherwise string
-	whole          bool
-}{"traffic": {"rate", "10", false}, "workers": {"count", "1", true}, "run": {"gateways", "3", true}}
+	key   string
+	whole bool
+}{"traffic": {"rate", false}, "workers": {"count", true}, "run": {"gateways", true}}
+
+// planDefault is what a plan has where it does not say.
+func planDefault(section, name string) string {
+	label := "any"
+	if slices.Contains(unlabelled, section) {
+		label = ""
+	}
+	b := binder{s: defaultSpec()}
+	keys := b.section(section, label)
+	return keys[slices.IndexFunc(keys, func(k key) bool { return k.name == name })].otherwise
+}
 
 // ScalePlan is a plan's text for a fleet so many times as large: more requests a
 // second, workers and gateways, with the same load for each worker. What a variant or a
-// workload sets grows too. Beginnings that are shared stay as many. With few gateways
-// kept, their number stays.
+// workload sets grows too. Beginnings that are shared stay as many. With
+// keepGateways their number stays.
 func ScalePlan(text string, times float64, keepGateways bool) (string, error) {
 	if !(times > 0 && times <= 1e6) {
 		return "", fmt.Errorf("times %v: expected above 0 and at most 1000000", times)
@@ -40,7 +52,7 @@
 	var failed error
 	end := func() { // what a section leaves to its default grows all the same
 		if k, ok := scaled[section]; ok && !seen {
-			v, err := grow(section, k.otherwise)
+			v, err := grow(section, planDefault(section, k.key))
 			failed = errors.Join(failed, err)
 			fmt.Fprintf(&out, "%s %s\n", k.key, v)
 		}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -188,7 +188,7 @@
 	floors    map[string]float64
 	floorsOf  []string // the classes that have floors, in order: sums must come out alike in each run
 	asking    float64  // units a second, lately
-	asked     float64  // units since then
+	asked     float64  // units asked for since the last step
 	askedAt   choice.Micros
 	mayBorrow float64 // units of its bound on borrowing, up to a second's
 	part      float64 // of the contract that is this gateway's: 1 where it is alone
--- a/internal/fleet/fit/fit.go
+++ b/internal/fleet/fit/fit.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -96,11 +97,7 @@
 			sessions[t.Session] = append(sessions[t.Session], t)
 		}
 	}
-	keys := make([]uint64, 0, len(sessions))
-	for k := range sessions {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
+	keys := slices.Sorted(maps.Keys(sessions))
 	// Sessions come by chance, turns by sessions: a session's turns come together.
 	squares := float64(alone)
 	thinking := func(until choice.Micros) (gaps []float64) {
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -8,7 +8,9 @@
 package model
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"path/filepath"
@@ -345,14 +347,8 @@
 	x.e.After(h.group.Params.Start, func(choice.Micros) { x.tell(h, choice.MemberReady) })
 }
 
-func sorted(m map[uint64]*attempt) []uint64 {
-	out := make([]uint64, 0, len(m))
-	for id := range m {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
-}
+// sorted are a map's keys in their order, that each run goes by them alike.
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 // drive has the worker's next step end when it does.
 func (x *sim) drive(h *host) {
@@ -515,12 +511,7 @@
 		return
 	}
 	g.dead = true
-	ids := make([]choice.RequestID, 0, len(g.requests))
-	for id := range g.requests {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range sorted(g.requests) {
 		r := g.requests[id]
 		for _, a := range r.attempts {
 			if !a.over {
