A crossing's price is weighed against the aim and added to the load, not a factor

The lines at fault: guardFactor (choice/guard.go) weighed a crossing as a factor 1 + price on the predicted load, so a worker 3 % less loaded over there won. Load counts towards worth only where it makes the first token late; a crossing costs its price for sure.

Change. crossCost (guard.go) adds to the score of a worker in another data centre price x aim / (mean first-token time) x (mean load + mean hold): what load would take r from the usual first-token time to its aim. Light load: crossings stay rare; where first tokens come near the aim, the cost falls and work spreads. Before first tokens are known the old factor holds.

Test: TestCrossingIsWeighedAgainstTheAim fails on the old factor.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -504,3 +504,39 @@
 		t.Errorf("advice %d where the wire has none", d)
 	}
 }
+
+// A crossing costs a share of the request's worth, which is lost only once the
+// first token is late: a little more load at home does not pay for it, much more does.
+func TestCrossingIsWeighedAgainstTheAim(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		home, away float64 // held load by report
+		learned    bool    // first-token times are known
+		want       ReplicaID
+	}{
+		{"a little more at home stays home", 6000, 5000, true, 1},
+		{"far more at home goes away", 20000, 5000, true, 2},
+		{"nothing learned: the price as a factor", 6000, 5000, false, 2},
+	} {
+		s := settings()
+		s.PriceCrossZone = 0.03
+		members := fleet(2)
+		members[1].Zone = "b"
+		b, _ := start(t, s, members...)
+		now := 200 * sec
+		b.lifetime, b.meanLoad = float64(10*sec), 10000
+		b.rows[0].held, b.rows[1].held = c.home, c.away
+		for _, w := range b.rows {
+			w.reportAt, w.slow = now, 1
+		}
+		if c.learned { // first tokens in 0.25 s, 1 s of aim: a crossing weighs 0.03 x 4 x usual load
+			for x := 0.0; x <= 4000; x += 1000 {
+				b.firstFit.add(x, 50_000+100*x)
+			}
+		}
+		r := &request{Request: req(1), terms: b.terms[0], tenant: -1, avoidZone: -1}
+		if got, _, _ := b.pick(now, r); got == nil || got.id != c.want {
+			t.Errorf("%s: picked %v, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -210,8 +210,8 @@
 	if w.errors > 0.02 {
 		f /= (1 - w.errors) * (1 - w.errors)
 	}
-	if w.zone != b.myZone {
-		f *= 1 + b.s.PriceCrossZone
+	if w.zone != b.myZone && b.firstFit.mean() <= 0 {
+		f *= 1 + b.s.PriceCrossZone // nothing yet to weigh it by: see crossCost
 	}
 	if b.s.PriceHandshake > 0 && b.connects(now, w) {
 		f *= 1 + b.s.PriceHandshake
@@ -222,6 +222,16 @@
 	return f
 }
 
+// crossCost is a crossing's price in the pick's units. It is a share of r's worth,
+// which is lost once the first token comes after the aim: as first tokens come now,
+// the usual load would take aim / (usual first-token time) times as long to make r late.
+func (b *Balancer) crossCost(r *request, w *row) float64 {
+	if first := b.firstFit.mean(); w.zone != b.myZone && first > 0 {
+		return b.s.PriceCrossZone * float64(b.aim(r)) / first * (b.meanLoad + b.meanHold)
+	}
+	return 0
+}
+
 // connects tells whether a dispatch to w needs a new connection.
 func (b *Balancer) connects(now Micros, w *row) bool {
 	if len(w.open) == 0 && now-w.usedAt > b.s.ConnIdle {
--- a/choice/num.go
+++ b/choice/num.go
@@ -54,6 +54,14 @@
 	return math.Max(f.y/f.n/2, f.y/f.n+f.slope()*(x-f.x/f.n))
 }
 
+// mean is the mean of what was added; 0 before the line has points.
+func (f *linearFit) mean() float64 {
+	if f.n < 4 {
+		return 0
+	}
+	return f.y / f.n
+}
+
 // slope is the line's slope, 0 or more.
 func (f *linearFit) slope() float64 {
 	my, mx := f.y/f.n, f.x/f.n
--- a/choice/table.go
+++ b/choice/table.go
@@ -183,7 +183,7 @@
 		// Slowness weighs what is held; weighing the reading too would make every
 		// gateway leave homes on slower kinds for whatever fast replica it liked.
 		guard := b.guardFactor(now, w, r)
-		score := (w.slow*(held+hold) + read*(prompt-kept)) * guard
+		score := (w.slow*(held+hold)+read*(prompt-kept))*guard + b.crossCost(r, w)
 		if b.judge != nil {
 			b.weighed = append(b.weighed, Terms{Worker: w.id, Score: score, Fresh: fresh, Reported: reported, Unseen: w.unseen,
 				Peers: usual, Charge: w.charge, Noise: noise, Slow: w.slow, Hold: hold, Read: read, Prompt: prompt,
