Settings that would change decisions unseen stop the start, told by file:line:column

Change. internal/lifecycle/config.go, settings(): those, prices outside 0..1, a lateShare outside 0..1 and a class named twice are errors, each named by its key (settings.zone, settings.penalties.crossZone, settings.requestClasses[1].name, ...). where.go finds the key's value in the file with encoding/json's tokens, and Load and Reload put "PATH:LINE:COLUMN: " before every error that names a key; a reload that is wrong changes nothing, as before. An empty zone or no list of zones is still taken: a deployment without zones is legal.

Tests: TestWrongSettingsAreTold (fails with no error on each of the five keys without the change), TestLocate.

--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -288,3 +288,63 @@
 	defer b.mu.Unlock()
 	return b.text.String()
 }
+
+// A setting that would change decisions unseen stops the start, and the error
+// tells the file, the line and the column of its value, and the key.
+func TestWrongSettingsAreTold(t *testing.T) {
+	two := strings.Replace(good, `"zone":"a","limits"`, `"zone":"a","zones":["a","b"],"limits"`, 1)
+	if _, err := load(t, two, nil); err != nil {
+		t.Fatalf("two zones: %v", err)
+	}
+	pretty := strings.ReplaceAll(two, `"requestClasses":[`, "\n  \"requestClasses\":[\n   ")
+	for _, c := range []struct{ from, to, key string }{
+		{`"zone":"a","zones"`, `"zone":"c","zones"`, "settings.zone"},
+		{`"connectTimeoutUs":50000`, `"connectTimeoutUs":50000},"penalties":{"crossZone":-0.03`, "settings.penalties.crossZone"},
+		{`"targetUs":1000000`, `"targetUs":9000000`, "settings.requestClasses[0].targetUs"},
+		{`"streamed":true}]`, `"streamed":true},{"name":"chat","targetUs":1,"deadlineUs":2,"effect":"repeatable"}]`, "settings.requestClasses[1].name"},
+		{`"effect":"repeatable"`, `"points":-2,"effect":"repeatable"`, "settings.requestClasses[0].points"},
+	} {
+		text := strings.Replace(pretty, c.from, c.to, 1)
+		if text == pretty {
+			t.Fatalf("%s: nothing replaced", c.key)
+		}
+		_, err := load(t, text, nil)
+		if err == nil {
+			t.Errorf("%s: no error", c.key)
+			continue
+		}
+		value := strings.SplitN(c.key, ".", 3)[len(strings.SplitN(c.key, ".", 3))-1]
+		if i := strings.LastIndex(value, "."); i >= 0 {
+			value = value[i+1:]
+		}
+		value = strings.TrimSuffix(strings.Split(value, "[")[0], "]")
+		line, col, ok := locate([]byte(text), c.key)
+		if !ok {
+			t.Fatalf("%s: not found in the text", c.key)
+		}
+		lines := strings.Split(text, "\n")
+		before := lines[line-1][:col-1]
+		if !strings.HasSuffix(strings.TrimRight(before, ": "), `"`+value+`"`) {
+			t.Errorf("%s: %d:%d points behind %q", c.key, line, col, before)
+		}
+		want := fmt.Sprintf("config.json:%d:%d: %s: ", line, col, c.key)
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %q, want it to hold %q", c.key, err, want)
+		}
+	}
+}
+
+func TestLocate(t *testing.T) {
+	text := "{\"a\": {\"b\": [1, {\"c\": 2}],\n \"d\": \"x\"},\n \"e\": [[3], [4, 5]]}"
+	for key, want := range map[string][2]int{"a": {1, 7}, "a.b[1].c": {1, 23}, "a.d": {2, 7}, "e[1][1]": {3, 17}} {
+		line, col, ok := locate([]byte(text), key)
+		if !ok || line != want[0] || col != want[1] {
+			t.Errorf("%s: %d:%d %v, want %v", key, line, col, ok, want)
+		}
+	}
+	for _, key := range []string{"b", "a.b[2]", "a.d.x", "e[x]"} {
+		if _, _, ok := locate([]byte(text), key); ok {
+			t.Errorf("%s: found", key)
+		}
+	}
+}
