--- a/choice/guard.go
+++ b/choice/guard.go
@@ -224,10 +224,11 @@
 
 // crossCost is a crossing's price in the pick's units. It is a share of r's worth,
 // which is lost once the first token comes after the aim: as first tokens come now,
-// the usual load would take aim / (usual first-token time) times as long to make r late.
+// the load that would use up what is left to the aim is (aim - usual) / usual times
+// the usual load. Where first tokens come at the aim already, a crossing costs nothing more.
 func (b *Balancer) crossCost(r *request, w *row) float64 {
 	if first := b.firstFit.mean(); w.zone != b.myZone && first > 0 {
-		return b.s.PriceCrossZone * float64(b.aim(r)) / first * (b.meanLoad + b.meanHold)
+		return b.s.PriceCrossZone * math.Max(0, float64(b.aim(r))-first) / first * (b.meanLoad + b.meanHold)
 	}
 	return 0
 }
