The clients' socket that the platform hands on as NODE_SOCKET_FD is taken, not bound

NODE_SOCKET_FD is read with the other variables in lifecycle's Load (a number from 3 on, else a plain error and exit 2); run.go's listen takes the descriptor with net.FileListener. Not taken: binding with SO_REUSEPORT beside the old process; the platform's socket would still be held, and two sockets would share new connections with no say of the platform's.

Test: TestHandedListener accepts a connection on a handed descriptor whose address is in use, and refuses x, 2 and -1.

--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -22,7 +22,10 @@
 
 // Config is what a gateway is told, checked and complete.
 type Config struct {
-	Listen   string
+	Listen string
+	// Handed is the descriptor of the clients' listening socket where the platform
+	// holds it and hands it on (NODE_SOCKET_FD); 0: the gateway listens itself.
+	Handed   int
 	Cores    int
 	MemoryMB int64
 	Gateway  gateway.Options
@@ -77,7 +80,11 @@
 	}
 	f.Discovery = cmp.Or(getenv("NODE_DISCOVERY"), f.Discovery)
 	c, err := f.check()
-	return c, placed(f.path, f.text, err)
+	if err != nil {
+		return c, placed(f.path, f.text, err)
+	}
+	c.Handed, err = handed(getenv("NODE_SOCKET_FD"))
+	return c, err
 }
 
 // Reload reads the configuration anew. The file's registry now goes before
@@ -93,6 +100,19 @@
 	return c, placed(f.path, f.text, err)
 }
 
+// handed reads NODE_SOCKET_FD: the number of a descriptor above those of the
+// standard streams, or nothing.
+func handed(value string) (int, error) {
+	if value == "" {
+		return 0, nil
+	}
+	fd, err := strconv.Atoi(value)
+	if err != nil || fd < 3 {
+		return 0, fmt.Errorf("NODE_SOCKET_FD: expected the number of a descriptor from 3 on, got %q", value)
+	}
+	return fd, nil
+}
+
 func read(getenv func(string) string) (file, error) {
 	var f file
 	path := getenv("NODE_CONFIG")
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -348,3 +348,43 @@
 		}
 	}
 }
+
+// Where the platform holds the clients' socket and hands it on as a descriptor, the
+// gateway accepts on it: binding the address itself fails, for it is in use.
+func TestHandedListener(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	f, err := held.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	c, err := load(t, strings.Replace(good, `"listen":"127.0.0.1:0"`, `"listen":"`+held.Addr().String()+`"`, 1),
+		map[string]string{"NODE_SOCKET_FD": fmt.Sprint(f.Fd())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := listen(c)
+	if err != nil {
+		t.Fatalf("the handed socket was not taken: %v", err)
+	}
+	defer l.Close()
+	go func() {
+		if conn, err := net.Dial("tcp", held.Addr().String()); err == nil {
+			conn.Close()
+		}
+	}()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Close()
+	for _, bad := range []string{"x", "2", "-1"} {
+		if _, err := load(t, good, map[string]string{"NODE_SOCKET_FD": bad}); err == nil || !strings.Contains(err.Error(), "NODE_SOCKET_FD") {
+			t.Errorf("%q: got %v", bad, err)
+		}
+	}
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -154,7 +154,7 @@
 	if err := s.listenMetrics(); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", s.c.Listen)
+	l, err := listen(s.c)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -296,6 +296,24 @@
 	}
 }
 
+// listen opens the clients' listener, or takes the one that the platform hands on:
+// it holds the address, and every process of the gateway accepts on that socket.
+func listen(c Config) (net.Listener, error) {
+	if c.Handed == 0 {
+		return net.Listen("tcp", c.Listen)
+	}
+	f := os.NewFile(uintptr(c.Handed), "NODE_SOCKET_FD")
+	if f == nil {
+		return nil, fmt.Errorf("NODE_SOCKET_FD: descriptor %d is not open", c.Handed)
+	}
+	defer f.Close() // the listener holds a copy
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("NODE_SOCKET_FD: descriptor %d: %w", c.Handed, err)
+	}
+	return l, nil
+}
+
 // listenMetrics serves the figures, if that is wanted.
 func (s *server) listenMetrics() (err error) {
 	s.metrics = nil
