Read over: a crossing's cost is reckoned once a pick, not once for every worker

Reading the whole change again: crossCost took the worker only to ask whether it stood in another zone, and pick called it inside the loop over all rows, so the same per-request figure (price, aim, mean first-token time, mean load) was computed once for every worker, on the hottest path of the module. It is now computed once before the scan and added to the score of each worker in another zone.

Also: TestWrongSettingsAreTold found the last name of a key with two SplitN, a LastIndex and a TrimSuffix; one Cut after the last dot does it. The assertions are as before.

--- a/choice/guard.go
+++ b/choice/guard.go
@@ -222,12 +222,12 @@
 	return f
 }
 
-// crossCost is a crossing's price in the pick's units. It is a share of r's worth,
-// which is lost once the first token comes after the aim: as first tokens come now,
-// the load that would use up what is left to the aim is (aim - usual) / usual times
-// the usual load. Where first tokens come at the aim already, a crossing costs nothing more.
-func (b *Balancer) crossCost(r *request, w *row) float64 {
-	if first := b.firstFit.mean(); w.zone != b.myZone && first > 0 {
+// crossCost is what a crossing adds to r's score: a share of r's worth, lost once the
+// first token is past the aim. The load that would use up what is left to the aim is
+// (aim - usual first) / usual first times the usual load; 0 at the aim. Before first
+// tokens are known, guardFactor prices a crossing.
+func (b *Balancer) crossCost(r *request) float64 {
+	if first := b.firstFit.mean(); first > 0 {
 		return b.s.PriceCrossZone * math.Max(0, float64(b.aim(r))-first) / first * (b.meanLoad + b.meanHold)
 	}
 	return 0
--- a/choice/table.go
+++ b/choice/table.go
@@ -135,6 +135,7 @@
 	}
 	b.short = [shortList]candidate{}
 	last := b.lastResort(now, r)
+	cross := b.crossCost(r) // the same for every worker in another zone
 	for _, w := range b.rows {
 		if !b.usable(now, w, r, last) {
 			continue
@@ -183,7 +184,10 @@
 		// Slowness weighs what is held; weighing the reading too would make every
 		// gateway leave homes on slower kinds for whatever fast replica it liked.
 		guard := b.guardFactor(now, w, r)
-		score := (w.slow*(held+hold)+read*(prompt-kept))*guard + b.crossCost(r, w)
+		score := (w.slow*(held+hold) + read*(prompt-kept)) * guard
+		if w.zone != b.myZone {
+			score += cross
+		}
 		if b.judge != nil {
 			b.weighed = append(b.weighed, Terms{Worker: w.id, Score: score, Fresh: fresh, Reported: reported, Unseen: w.unseen,
 				Peers: usual, Charge: w.charge, Noise: noise, Slow: w.slow, Hold: hold, Read: read, Prompt: prompt,
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -313,11 +313,7 @@
 			t.Errorf("%s: no error", c.key)
 			continue
 		}
-		value := strings.SplitN(c.key, ".", 3)[len(strings.SplitN(c.key, ".", 3))-1]
-		if i := strings.LastIndex(value, "."); i >= 0 {
-			value = value[i+1:]
-		}
-		value = strings.TrimSuffix(strings.Split(value, "[")[0], "]")
+		value, _, _ := strings.Cut(c.key[strings.LastIndex(c.key, ".")+1:], "[") // the last name
 		line, col, ok := locate([]byte(text), c.key)
 		if !ok {
 			t.Fatalf("%s: not found in the text", c.key)
