--- a/choice/api.go
+++ b/choice/api.go
@@ -148,6 +148,9 @@
 	// Factor is what a contract makes of the class's worth; 0: there is none, and
 	// the tenant's quota counts.
 	Factor float64
+	// Spent is how many attempts another gateway has made, or may have made: this
+	// one goes on with a request that it lost.
+	Spent int
 }
 
 // Fields of a Report that were present.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -92,7 +92,7 @@
 	if r.class, ok = b.class[in.Class]; !ok {
 		r.class = len(b.terms) - 1
 	}
-	r.terms = b.terms[r.class]
+	r.terms = b.terms[r.class].less(in.Spent)
 	if t, ok := b.ten[in.Tenant]; ok {
 		r.tenant = t
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -543,3 +543,25 @@
 		}
 	}
 }
+
+// Attempts that another gateway made count: a request that it lost, of which two were
+// made, gets one more and no other.
+func TestAttemptsMadeElsewhereCount(t *testing.T) {
+	b, rec := start(t, settings(), Member{Replica: 1, Zone: "a", Kind: "k"}, Member{Replica: 2, Zone: "a", Kind: "k"}, Member{Replica: 3, Zone: "a", Kind: "k"})
+	rec.take("")
+	for spent, want := range []int{3, 2, 1, 0} {
+		id := RequestID(spent + 1)
+		b.RequestArrived(sec, Request{ID: id, Class: "chat", TimeLeft: 4 * sec, PromptTokens: 10, MaxTokens: 10, Spent: spent})
+		got := 0
+		for list := rec.take("dispatch"); len(list) > 0; list = rec.take("dispatch") {
+			got++
+			b.AttemptEnded(sec, Outcome{ID: id, Attempt: got - 1, Replica: list[0].to, Status: ConnectFailed})
+		}
+		if got != want {
+			t.Errorf("%d made elsewhere: %d more, expected %d", spent, got, want)
+		}
+		if b.requests[id] != nil {
+			t.Errorf("%d made elsewhere: still in hand", spent)
+		}
+	}
+}
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -407,6 +407,7 @@
 		}
 		whole(s, 21, &at)
 		s.float(22, &r.Factor)
+		whole(s, 23, &r.Spent)
 		if !s.saving {
 			b.requests[r.ID] = r
 			switch {
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,6 +22,16 @@
 	secondCopies bool
 }
 
+// less is the terms of a request of which some attempts were made elsewhere.
+func (t *terms) less(spent int) *terms {
+	if spent <= 0 {
+		return t
+	}
+	left := *t
+	left.maxAttempts = max(0, t.maxAttempts-spent)
+	return &left
+}
+
 type request struct {
 	Request
 	terms             *terms
--- a/internal/capture/convert.go
+++ b/internal/capture/convert.go
@@ -45,14 +45,14 @@
 func putArrival(to *pb.Arrival, in *choice.Request, name string) *pb.Arrival {
 	to.Class, to.Tenant, to.TimeLeftUs, to.Name = append(to.Class[:0], in.Class...), append(to.Tenant[:0], in.Tenant...), in.TimeLeft, text(name)
 	to.PromptTokens, to.PrefixTokens, to.MaxTokens = int64(in.PromptTokens), int64(in.PrefixTokens), int64(in.MaxTokens)
-	to.Session, to.Prefix, to.Factor = in.Session, in.Prefix, in.Factor
+	to.Session, to.Prefix, to.Factor, to.Spent = in.Session, in.Prefix, in.Factor, int64(in.Spent)
 	return to
 }
 
 func getArrival(id choice.RequestID, a *pb.Arrival) choice.Request {
 	return choice.Request{ID: id, Class: string(a.GetClass()), Tenant: string(a.GetTenant()), TimeLeft: a.GetTimeLeftUs(),
 		PromptTokens: int(a.GetPromptTokens()), PrefixTokens: int(a.GetPrefixTokens()), MaxTokens: int(a.GetMaxTokens()),
-		Session: a.GetSession(), Prefix: a.GetPrefix(), Factor: a.GetFactor()}
+		Session: a.GetSession(), Prefix: a.GetPrefix(), Factor: a.GetFactor(), Spent: int(a.GetSpent())}
 }
 
 func putList(l *choice.ServerList, name func(choice.ReplicaID) string) *pb.List {
--- /dev/null
+++ b/internal/cli/drill.go
@@ -0,0 +1,174 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/schollz/progressbar/v3"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/term"
+
+	"archknot/internal/conf"
+	"archknot/internal/drill"
+	"archknot/internal/experiment"
+)
+
+type drillCmd struct {
+	Run drillRunCmd `cmd:"" help:"Start many gateways as processes before an emulated fleet, strike them as a plan says, and check the rules."`
+}
+
+type drillRunCmd struct {
+	Plan     string `arg:"" help:"The plan: see deploy/take-over.plan."`
+	Program  string `placeholder:"FILE" help:"Another build that is started in the place of this one."`
+	Variant  string `help:"Which of the plan's, if not the first."`
+	Workload string `help:"Which, if not the first."`
+	Seed     uint64 `default:"1" help:"The first seed."`
+	Seeds    int    `default:"1" help:"How many drills, each with the next seed."`
+	Jobs     int    `default:"1" help:"Drills at once."`
+	Logs     string `placeholder:"DIR" help:"Where configurations and logs are left; without it they are removed."`
+	JSON     bool   `name:"json" help:"Print JSON, a line for each drill and one for all."`
+}
+
+func (drillRunCmd) Help() string {
+	return "Everything is on loopback addresses; each process is ended by its id. The rules: at most so many attempts over all gateways, never two at once\n" +
+		"unless second copies are on, nothing twice that must run once, nothing after the deadline, drains kept, one answer each, no process that ends by itself.\n" +
+		"Exit code 1: a rule was broken.\n\nExample:\n  archknot drill run deploy/take-over.plan --seeds 10 --jobs 3"
+}
+
+// drilled is what several drills come to.
+type drilled struct {
+	Drills  int                 `json:"drills"`
+	Sent    int                 `json:"sent"`
+	Caught  int                 `json:"caught"`
+	Saved   int                 `json:"saved"`
+	Breaks  int                 `json:"breaks"`
+	Crashes int                 `json:"crashes"`
+	Served  experiment.Interval `json:"worth_served"` // share of what was asked for
+	Lost    experiment.Interval `json:"worth_lost_10s"`
+	First   experiment.Interval `json:"first_p50_ms"`
+	CPU     experiment.Interval `json:"cpu_ms_request"`
+	Memory  float64             `json:"memory_mb"`
+	Files   int                 `json:"files"`
+}
+
+func (c *drillRunCmd) Run(s *streams) error {
+	p, err := conf.LoadPlan(c.Plan)
+	if err != nil {
+		return err
+	}
+	v, err := pickVariant(p.Variants, c.Variant)
+	if err != nil {
+		return err
+	}
+	w, err := pickVariant(p.Workloads, c.Workload)
+	if err != nil {
+		return err
+	}
+	if c.Seeds < 1 || c.Jobs < 1 {
+		return errors.New("--seeds, --jobs: expected 1 or more")
+	}
+	program := c.Program
+	if program == "" {
+		program = v.Build
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var bar *progressbar.ProgressBar
+	if f, ok := s.err.(*os.File); ok && term.IsTerminal(int(f.Fd())) {
+		bar = progressbar.NewOptions(c.Seeds, progressbar.OptionSetWriter(f), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
+	}
+	var mu sync.Mutex
+	var all []*drill.Result
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(c.Jobs)
+	for i := range c.Seeds {
+		group.Go(func() error {
+			spec, err := p.Spec(v, w, c.Seed+uint64(i))
+			if err != nil {
+				return err
+			}
+			o := drill.Options{Program: program}
+			if c.Logs != "" {
+				o.Dir = filepath.Join(c.Logs, fmt.Sprint(spec.Seed))
+			}
+			r, err := drill.Run(ctx, spec, o)
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", spec.Seed, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if bar != nil {
+				_ = bar.Add(1)
+			}
+			all = append(all, r)
+			return c.tell(s, r)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	sum := c.sum(all)
+	if c.JSON {
+		if err := json.NewEncoder(s.out).Encode(sum); err != nil {
+			return err
+		}
+	} else {
+		t := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+		fmt.Fprintf(t, "drills\t%d\nrequests\t%d\nin hand at a lost gateway\t%d\n  of them whole and in time\t%d (%.2f%%)\n", sum.Drills, sum.Sent, sum.Caught, sum.Saved, 100*float64(sum.Saved)/max(1, float64(sum.Caught)))
+		fmt.Fprintf(t, "worth served\t%s\nworth lost in 10 s\t%s\nfirst token, median ms\t%s\ncpu a request, ms\t%s\n", sum.Served, sum.Lost, sum.First, sum.CPU)
+		fmt.Fprintf(t, "most memory, MB\t%.1f\nmost descriptors\t%d\nrules broken\t%d\nprocesses that ended\t%d\n", sum.Memory, sum.Files, sum.Breaks, sum.Crashes)
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	if sum.Breaks+sum.Crashes > 0 {
+		return no
+	}
+	return nil
+}
+
+// tell prints one drill as it ends.
+func (c *drillRunCmd) tell(s *streams, r *drill.Result) error {
+	if c.JSON {
+		return json.NewEncoder(s.out).Encode(r)
+	}
+	ends := make([]string, 0, len(r.Ends))
+	for _, k := range []string{"served", "broken", "refused", "failed", "late", "contract"} {
+		if n := r.Ends[k]; n > 0 {
+			ends = append(ends, fmt.Sprintf("%s=%d", k, n))
+		}
+	}
+	fmt.Fprintf(s.out, "seed=%d sent=%d %s worth=%.4f caught=%d saved=%d lost_10s=%.1f p50_ms=%.1f breaks=%d crashes=%d\n", r.Seed, r.Sent, strings.Join(ends, " "),
+		r.Worth/max(1e-9, r.Asked), r.Caught, r.Saved, r.LostIn, r.FirstMs["p50"], len(r.Breaks), len(r.Crashes))
+	for _, b := range r.Breaks {
+		fmt.Fprintf(s.out, "  rule=%s request=%s %s\n", b.Rule, b.Root, b.What)
+	}
+	for _, text := range r.Crashes {
+		fmt.Fprintf(s.out, "  %s\n", strings.ReplaceAll(text, "\n", "\n    "))
+	}
+	return nil
+}
+
+func (c *drillRunCmd) sum(all []*drill.Result) (out drilled) {
+	var served, lost, first, cpu []float64
+	for _, r := range all {
+		out.Drills++
+		out.Sent, out.Caught, out.Saved = out.Sent+r.Sent, out.Caught+r.Caught, out.Saved+r.Saved
+		out.Breaks, out.Crashes = out.Breaks+len(r.Breaks), out.Crashes+len(r.Crashes)
+		out.Memory, out.Files = max(out.Memory, r.MemoryMB), max(out.Files, r.Files)
+		served, lost = append(served, r.Worth/max(1e-9, r.Asked)), append(lost, r.LostIn)
+		first, cpu = append(first, r.FirstMs["p50"]), append(cpu, r.CPUMs)
+	}
+	out.Served, out.Lost = experiment.MeanInterval(served), experiment.MeanInterval(lost)
+	out.First, out.CPU = experiment.MeanInterval(first), experiment.MeanInterval(cpu)
+	return out
+}
--- a/internal/conf/plan.go
+++ b/internal/conf/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -177,14 +178,16 @@
 	groups  []*model.Group
 	streams []*model.Stream
 	faults  []*model.Fault
+	strikes []*model.Strike
+	effects []*string // by class
 	book    Contracts
 	reports string
 }
 
 // unlabelled are the sections that there is one of.
-var unlabelled = []string{"run", "network", "gateway", "contracts"}
+var unlabelled = []string{"run", "network", "gateway", "contracts", "drill"}
 
-var planSections = []string{"run", "network", "gateway", "class", "tenant", "workers", "traffic", "fault", "contracts", "contract", "variant", "workload"}
+var planSections = []string{"run", "network", "gateway", "class", "tenant", "workers", "traffic", "fault", "contracts", "contract", "drill", "strike", "variant", "workload"}
 
 func (b *binder) entry(e entry) {
 	at := strings.TrimSpace(e.section + " " + e.label)
@@ -257,7 +260,7 @@
 func (b *binder) section(name, label string) []key {
 	s := b.s
 	const hour = time.Hour
-	if slices.Contains([]string{"class", "tenant", "workers", "traffic", "fault"}, name) != (label != "") {
+	if slices.Contains([]string{"class", "tenant", "workers", "traffic", "fault", "strike"}, name) != (label != "") {
 		return nil
 	}
 	switch name {
@@ -283,13 +286,15 @@
 			micros("cold-for", &g.ColdFor, "8s", 0, hour, "how long a worker counts as cold")}
 	case "class":
 		c := &choice.Class{Name: label}
-		b.classes = append(b.classes, c)
+		effect := new(string)
+		b.classes, b.effects = append(b.classes, c), append(b.effects, effect)
 		return []key{micros("aim", &c.Aim, "1s", 0, hour, "full worth for a first token within this"),
 			micros("aim-per-1000", &c.AimPer1000, "0s", 0, hour, "added for each 1,000 prompt tokens"),
 			micros("token-aim", &c.TokenAim, "300ms", 0, time.Minute, "for each token"),
 			micros("deadline", &c.Deadline, "5s", time.Millisecond, hour, "the client's total wait"),
 			factor("worth", &c.Worth, "1", 0, 1e6, "points"), factor("late-worth", &c.LateWorth, "0.3", 0, 1, "part of it after the aim"),
-			onOff("stream", &c.Stream, "on", "answers come as streams")}
+			onOff("stream", &c.Stream, "on", "answers come as streams"),
+			choiceOf("effect", effect, "repeatable", "whether it may run twice", "repeatable", "once")}
 	case "tenant":
 		t := &choice.Tenant{Name: label}
 		b.tenants = append(b.tenants, t)
@@ -315,7 +320,8 @@
 			factor("answer", &t.Answer, "150", 1, 1e7, "tokens, the median"), factor("spread", &t.Spread, "0.6", 0, 3.9, "of both"),
 			count("most", &t.MaxOut, "600", 1, 1<<24, "tokens of an answer"), count("prefixes", &t.Prefixes, "0", 0, 1<<20, "shared beginnings"),
 			count("shared", &t.Shared, "0", 0, 1<<24, "tokens of them"), seconds("patience", &t.Patience, "0s", "to the first token; 0s: the class's deadline"),
-			count("retries", &t.Retries, "0", 0, 100, "by clients, after a refusal")}
+			count("retries", &t.Retries, "0", 0, 100, "by clients, after a refusal"),
+			count("rest", &t.Rest, "0", 0, 10, "asks for the rest of an answer that broke (the emulator alone)")}
 	case "fault":
 		f := &model.Fault{Worker: -1}
 		b.faults = append(b.faults, f)
@@ -326,6 +332,22 @@
 		slices.Sort(kinds)
 		return []key{micros("at", &f.At, "0s", 0, 24*hour, "when it begins"), micros("for", &f.For, "0s", 0, 24*hour, "how long; 0s: to the end"),
 			choiceOf("kind", &f.Kind, kinds[0], "what goes wrong", kinds...), worker(&f.Worker), factor("factor", &f.Factor, "1", 0, 1e6, "see the kinds")}
+	case "drill":
+		d := &s.Drill
+		return []key{onOff("peers", &d.Peers, "on", "gateways go on with each other's work"), onOff("relays", &d.Relays, "on", "what they say to each other can be cut and slowed"),
+			count("copies", &d.Copies, "5", 1, 8, "gateways that note each request"),
+			count("records", &d.Records, "4096", 16, 100_000, "requests of others that a gateway notes at once"), count("sites", &d.Sites, "1", 1, 100, "gateways are dealt to so many"),
+			count("memory", &d.Memory, "32", 16, 4096, "of a gateway, megabytes"), count("files", &d.Files, "256", 64, 65536, "its descriptors"),
+			micros("settle", &d.Settle, "1500ms", 0, time.Minute, "from the last gateway's start to the traffic")}
+	case "strike":
+		x := &model.Strike{}
+		b.strikes = append(b.strikes, x)
+		return []key{micros("at", &x.At, "0s", 0, hour, "when"), micros("for", &x.For, "0s", 0, hour, "how long; 0s: to the end"),
+			choiceOf("kind", &x.Kind, "kill", "what happens to the gateways", slices.Sorted(maps.Keys(model.Strikes))...),
+			numbered("gateway", &x.Gateway, "one of them, by its place"), share("share", &x.Share, "0%", "so many of them, by chance"),
+			numbered("site", &x.Site, "of one site, by its place"),
+			choiceOf("when", &x.When, "at", "at a time, or when a request's first event, half or last event has come, or it was sent: at the gateway that serves it", "at", "sent", "first", "half", "last"),
+			count("nth", &x.Nth, "1", 1, 1<<20, "which request"), factor("factor", &x.Factor, "1", 0, 1e6, "see the kinds")}
 	case "contracts":
 		return []key{zone("zone", &b.book.Zone, "UTC", "of days and quarters"), duration("pool", &b.book.Pool, "1s", 0, time.Minute, "what idle shares may save up"),
 			factor("others", &b.book.Other, "0.05", -1, 1000, "the worth of tenants without a contract")}
@@ -333,8 +355,11 @@
 	return nil
 }
 
-func worker(to *int) key {
-	return bind("worker", "all|number", to, "all", "which, by its place", func(s string) (int, error) {
+func worker(to *int) key { return numbered("worker", to, "which, by its place") }
+
+// numbered is one of some, by its place, or all of them.
+func numbered(name string, to *int, doc string) key {
+	return bind(name, "all|number", to, "all", doc, func(s string) (int, error) {
 		if s == "all" {
 			return -1, nil
 		}
@@ -361,7 +386,10 @@
 	if b.reports == "none" {
 		s.Settings.ReportVia = choice.ReportNone
 	}
-	for _, c := range b.classes {
+	for i, c := range b.classes {
+		if *b.effects[i] == "once" {
+			c.Effect = choice.Unsafe
+		}
 		s.Settings.Classes = append(s.Settings.Classes, *c)
 	}
 	for _, t := range b.tenants {
@@ -375,6 +403,9 @@
 	for _, t := range b.streams {
 		s.Streams = append(s.Streams, *t)
 	}
+	for _, x := range b.strikes {
+		s.Strikes = append(s.Strikes, *x)
+	}
 	for _, f := range b.faults {
 		s.Faults = append(s.Faults, *f)
 	}
--- a/internal/conf/schema.go
+++ b/internal/conf/schema.go
@@ -28,6 +28,7 @@
 
 	Contracts Contracts
 	Metrics   Metrics
+	Peers     Peers
 }
 
 // Log is what is written to standard error.
@@ -63,6 +64,21 @@
 	Stall   time.Duration
 }
 
+// Peers is the link to the other gateways, which take over each other's work.
+type Peers struct {
+	Listen    string
+	Advertise string
+	Site      string
+	Join      string
+	Copies    int
+	Silence   time.Duration
+	Remember  time.Duration
+	Frozen    time.Duration
+	HandOver  time.Duration
+	Records   int
+	Each      int
+}
+
 // Metrics is where the gateway's figures can be read.
 type Metrics struct {
 	Listen string
@@ -142,6 +158,19 @@
 			path("listen", &c.Metrics.Listen, "", "host:port; none if not given"),
 			count("teams", &c.Metrics.Teams, "200", 1, 10_000, "teams with figures of their own; the others are summed up as one"),
 		}},
+		{"peers", "The link to the other gateways, which go on with what one of them loses: docs/operate/takeover.md. Off without an address.", []key{
+			path("listen", &c.Peers.Listen, "", "host:port for datagrams of other gateways and for their probes; none if not given"),
+			path("advertise", &c.Peers.Advertise, "", "host:port where they reach it, if not there"),
+			path("site", &c.Peers.Site, "", "where the gateway stands: keepers of its work are sought elsewhere first"),
+			path("join", &c.Peers.Join, "", "host:port of some other gateways, with commas between"),
+			count("copies", &c.Peers.Copies, "5", 1, 8, "gateways that note each request"),
+			duration("silence", &c.Peers.Silence, "150ms", 10*time.Millisecond, 5*time.Second, "how long another gateway's answer is waited for"),
+			duration("remember", &c.Peers.Remember, "30s", 2*time.Second, 10*time.Minute, "how long a request is noted after its gateway's last word of it"),
+			duration("frozen", &c.Peers.Frozen, "500ms", 100*time.Millisecond, time.Minute, "a gap in the gateway's own time after which it asks whether its work is still its own"),
+			duration("hand-over", &c.Peers.HandOver, "2s", 0, time.Minute, "how long after SIGTERM work goes on here before others get it"),
+			count("records", &c.Peers.Records, "4096", 16, 100_000, "requests of others that are noted at once"),
+			count("records-each", &c.Peers.Each, "1024", 16, 100_000, "and for one gateway"),
+		}},
 		{"control-service", "The control service that numbered versions of the configuration come from: docs/operate/streamed-configuration.md.", []key{
 			path("address", &c.Service.Address, "", "host:port; none if not given, and then nothing is streamed"),
 			choiceOf("form", &c.Service.Form, "world", "the stream's form: all resources each time, or changes only", "world", "delta"),
--- /dev/null
+++ b/internal/drill/audit.go
@@ -0,0 +1,101 @@
+package drill
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"archknot/internal/fleet/emulate"
+)
+
+// Rules are what a run is checked against.
+type Rules struct {
+	Attempts int             // of a request, over all gateways
+	Beside   bool            // second copies are allowed
+	Once     map[string]bool // classes that must not run twice
+	Slack    time.Duration
+	Drains   map[string]time.Time // workers, and from when on nothing new may come
+}
+
+// Break is a rule that did not hold.
+type Break struct {
+	Rule string `json:"rule"`
+	Root string `json:"request"`
+	What string `json:"what"`
+}
+
+// Audit checks what workers and clients saw.
+func Audit(r Rules, tries []emulate.Try, attempts []emulate.Attempt) (out []Break) {
+	bad := func(rule, root, format string, args ...any) {
+		out = append(out, Break{rule, root, fmt.Sprintf(format, args...)})
+	}
+	byRoot := map[string][]emulate.Attempt{}
+	for _, a := range attempts {
+		byRoot[a.Root] = append(byRoot[a.Root], a)
+	}
+	for _, root := range sortedKeys(byRoot) {
+		list := byRoot[root]
+		slices.SortFunc(list, func(a, b emulate.Attempt) int { return a.From.Compare(b.From) })
+		if len(list) > r.Attempts {
+			bad("attempts", root, "%d attempts, %d are allowed", len(list), r.Attempts)
+		}
+		ran := 0
+		for i, a := range list {
+			if a.Declined {
+				continue
+			}
+			ran++
+			for _, b := range list[:i] {
+				if !b.Declined && !r.Beside && b.To.Sub(a.From) > r.Slack {
+					bad("at_once", root, "an attempt at %s began %v before that at %s ended", a.Worker, b.To.Sub(a.From), b.Worker)
+				}
+			}
+			if late := a.From.Sub(a.Until); late > r.Slack {
+				bad("deadline", root, "an attempt at %s began %v after its deadline", a.Worker, late)
+			}
+			if at, ok := r.Drains[a.Worker]; ok && a.From.Sub(at) > r.Slack {
+				bad("drain", root, "an attempt came to %s %v too late", a.Worker, a.From.Sub(at))
+			}
+		}
+		if ran > 1 && r.Once[list[0].Class] {
+			bad("once", root, "ran %d times", ran)
+		}
+	}
+	byTry := map[string][]emulate.Try{}
+	for _, t := range tries {
+		byTry[t.Root] = append(byTry[t.Root], t)
+	}
+	for _, root := range sortedKeys(byTry) {
+		list := byTry[root]
+		slices.SortFunc(list, func(a, b emulate.Try) int { return cmp.Compare(a.Ask, b.Ask) })
+		whole, ended := 0, map[string]int{}
+		for _, t := range list {
+			if t.Whole {
+				whole++
+			}
+			ended[t.ID]++
+			if t.FirstAt == 0 && t.Status != 0 && t.At-t.SentAt > t.Patience+r.Slack.Microseconds() {
+				bad("late_answer", root, "%s was answered %d ms after its deadline", t.ID, (t.At-t.SentAt-t.Patience)/1000)
+			}
+		}
+		if whole > 1 {
+			bad("answers", root, "%d whole answers", whole)
+		}
+		for id, n := range ended {
+			if n > 1 {
+				bad("answers", root, "%s ended %d times", id, n)
+			}
+		}
+	}
+	return out
+}
+
+func sortedKeys[T any](m map[string]T) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/drill/cluster.go
@@ -0,0 +1,300 @@
+package drill
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"archknot/internal/fleet/model"
+	"archknot/internal/wire"
+	"archknot/internal/wire/socket"
+)
+
+// cluster is the gateways' processes.
+type cluster struct {
+	spec     *model.Spec
+	program  string
+	dir      string
+	registry string
+	rng      *rand.Rand
+	relays   *relays
+	nodes    []*node
+	orders   chan func() // processes are started by one thread: they end with it
+	client   *http.Client
+}
+
+// node is one gateway, over all its lives.
+type node struct {
+	n        int
+	name     string
+	addr     string // for clients
+	link     string // the process's own
+	relay    *relay
+	site     int
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	expected bool // to end
+	frozen   bool
+	crashes  []string
+}
+
+func newCluster(spec *model.Spec, program, dir, registry string) (*cluster, error) {
+	c := &cluster{spec: spec, program: program, dir: dir, registry: registry, rng: rand.New(rand.NewPCG(spec.Seed, 5)), orders: make(chan func()),
+		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	go func() {
+		runtime.LockOSThread() // Pdeathsig comes when the thread ends
+		for do := range c.orders {
+			do()
+		}
+	}()
+	if spec.Drill.Peers && spec.Drill.Relays {
+		c.relays = newRelays(spec.Seed)
+	}
+	for i := range spec.Gateways {
+		n := &node{n: i, name: fmt.Sprintf("g%d", i+1), site: i % max(1, spec.Drill.Sites)}
+		var err error
+		if n.addr, err = c.free(); err == nil {
+			n.link, err = c.free()
+		}
+		if err == nil && c.relays != nil {
+			n.relay, err = c.relays.add(n.name, n.link)
+		}
+		if err != nil {
+			c.close()
+			return nil, err
+		}
+		c.nodes = append(c.nodes, n)
+	}
+	for _, n := range c.nodes {
+		if err := c.write(n); err != nil {
+			c.close()
+			return nil, err
+		}
+		if err := c.start(n); err != nil {
+			c.close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// free finds a port that nothing uses, below those that the system deals out itself.
+func (c *cluster) free() (string, error) {
+	for range 200 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		u, err := net.ListenPacket("udp", addr)
+		l.Close()
+		if err != nil {
+			continue
+		}
+		u.Close()
+		return addr, nil
+	}
+	return "", errors.New("no free port found")
+}
+
+// write makes a gateway's two configurations.
+func (c *cluster) write(n *node) error {
+	s := c.spec.Settings
+	s.Self, s.Gateways = n.n, c.spec.Gateways
+	zones, kinds := map[string]bool{}, map[string]bool{}
+	for _, g := range c.spec.Groups {
+		if !zones[g.Zone] {
+			s.Zones = append(s.Zones, g.Zone)
+		}
+		if !kinds[g.Name] {
+			s.Kinds = append(s.Kinds, g.Name)
+		}
+		zones[g.Zone], kinds[g.Name] = true, true
+	}
+	s.Zone = s.Zones[n.site%len(s.Zones)]
+	settings, err := wire.WriteSettings(s)
+	if err != nil {
+		return err
+	}
+	config, err := json.Marshal(map[string]any{"name": n.name, "listen": n.addr, "discovery": c.registry, "seed": fmt.Sprintf("%x", c.spec.Seed*1000+uint64(n.n)+1),
+		"limits": map[string]any{"cores": 1, "memory_mb": c.spec.Drill.Memory, "sockets": c.spec.Drill.Files}, "settings": json.RawMessage(settings)})
+	if err != nil {
+		return err
+	}
+	own := "[log]\nlevel info\n"
+	if d := c.spec.Drill; d.Peers {
+		own += fmt.Sprintf("[peers]\nlisten %s\nsite s%d\ncopies %d\nrecords %d\nrecords-each %d\n", n.link, n.site, d.Copies, d.Records, d.Records)
+		if n.relay != nil {
+			own += "advertise " + n.relay.addr + "\n"
+		}
+		var join []string
+		for _, o := range c.nodes[:min(3, len(c.nodes))] {
+			join = append(join, c.reach(o))
+		}
+		if n.n == 0 && len(join) == 0 {
+			join = []string{c.reach(n)}
+		}
+		own += "join " + strings.Join(join, ",") + "\n"
+	}
+	if err := os.WriteFile(c.path(n, "json"), config, 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(c.path(n, "conf"), []byte(own), 0o600)
+}
+
+func (c *cluster) reach(n *node) string {
+	if n.relay != nil {
+		return n.relay.addr
+	}
+	return n.link
+}
+
+func (c *cluster) path(n *node, ending string) string {
+	return filepath.Join(c.dir, n.name+"."+ending)
+}
+
+// start starts a gateway's next life.
+func (c *cluster) start(n *node) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(c.path(n, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(c.program, "serve", "--config", c.path(n, "conf"))
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+c.path(n, "json"), "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=", "NODE_SOCKET_FD=", "ARCHKNOT_CONF=")
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error, 1)
+	c.orders <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
+		log.Close()
+		return err
+	}
+	exited := make(chan struct{})
+	n.cmd, n.exited, n.expected, n.frozen = cmd, exited, false, false
+	if n.relay != nil {
+		if err := n.relay.up(); err != nil {
+			return err
+		}
+	}
+	go func() {
+		err := cmd.Wait()
+		log.Close()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.relay != nil {
+			n.relay.down()
+		}
+		if !n.expected {
+			n.crashes = append(n.crashes, fmt.Sprintf("%s ended by itself: %v\n%s", n.name, err, c.tail(n)))
+		}
+		n.cmd = nil
+		close(exited)
+	}()
+	return nil
+}
+
+// tail is the end of a gateway's log.
+func (c *cluster) tail(n *node) string {
+	text, _ := os.ReadFile(c.path(n, "log"))
+	lines := bytes.Split(bytes.TrimSpace(text), []byte("\n"))
+	return string(bytes.Join(lines[max(0, len(lines)-8):], []byte("\n")))
+}
+
+// signal sends a signal to a gateway's process, by its id, if it runs.
+func (n *node) signal(s syscall.Signal) (exited <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil {
+		return nil
+	}
+	switch s {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		n.expected = true
+	case syscall.SIGSTOP, syscall.SIGCONT:
+		n.frozen = s == syscall.SIGSTOP
+	}
+	_ = n.cmd.Process.Signal(s)
+	return n.exited
+}
+
+// ready waits until all gateways take clients.
+func (c *cluster) ready(ctx context.Context) error {
+	for _, n := range c.nodes {
+		if err := c.readyOne(ctx, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) readyOne(ctx context.Context, n *node) error {
+	for {
+		n.mu.Lock()
+		running := n.cmd != nil
+		n.mu.Unlock()
+		if !running {
+			return fmt.Errorf("%s does not run: %s", n.name, c.tail(n))
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.addr+socket.ReadyPath, nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := c.client.Do(req); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready: %s", n.name, c.tail(n))
+		}
+	}
+}
+
+// crashes are the processes that ended and were not to.
+func (c *cluster) crashes() (out []string) {
+	for _, n := range c.nodes {
+		n.mu.Lock()
+		out = append(out, n.crashes...)
+		n.mu.Unlock()
+	}
+	return out
+}
+
+// close ends every process, by its id, and waits for it.
+func (c *cluster) close() {
+	var ends []<-chan struct{}
+	for _, n := range c.nodes {
+		ends = append(ends, n.signal(syscall.SIGKILL)) // also one that is stopped
+	}
+	for _, e := range ends {
+		if e != nil {
+			<-e
+		}
+	}
+	if c.relays != nil {
+		c.relays.close()
+	}
+	close(c.orders)
+}
--- /dev/null
+++ b/internal/drill/drill.go
@@ -0,0 +1,462 @@
+package drill
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/fleet/emulate"
+	"archknot/internal/fleet/model"
+)
+
+// Options of a drill.
+type Options struct {
+	Program string // what is started; "": this one
+	Dir     string // for configurations and logs; "": a folder that is removed at the end
+}
+
+// Result is what a drill saw.
+type Result struct {
+	Seed     uint64             `json:"seed"`
+	Sent     int                `json:"sent"`
+	Ends     map[string]int     `json:"ends"` // of requests, by how they ended for the client
+	Worth    float64            `json:"worth"`
+	Asked    float64            `json:"worth_asked"`
+	Caught   int                `json:"caught"`         // in hand for over 50 ms at a gateway that was killed or ended
+	Saved    int                `json:"saved"`          // of those, answered whole and in time
+	LostIn   float64            `json:"worth_lost_10s"` // in the 10 s after the first strike
+	FirstMs  map[string]float64 `json:"first_ms"`
+	CPUMs    float64            `json:"cpu_ms_request"` // of the gateways' processes that ran to the end
+	MemoryMB float64            `json:"memory_mb"`      // the most resident memory of one of them at the end
+	Files    int                `json:"files"`          // the most descriptors open at the end
+	Breaks   []Break            `json:"breaks"`
+	Crashes  []string           `json:"crashes"`
+	LeftOut  int                `json:"left_out"`
+}
+
+// watch gathers what clients and workers see.
+type watch struct {
+	mu       sync.Mutex
+	tries    []emulate.Try
+	attempts []emulate.Attempt
+	strikes  map[string][]*armed
+	began    time.Time
+	c        *cluster
+	fire     func(x *model.Strike, serving int)
+}
+
+// armed is a strike that waits for a request's state.
+type armed struct {
+	x    *model.Strike
+	seen int
+}
+
+func (w *watch) state(t *emulate.Try, state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.strikes[state] {
+		if t.Ask > 0 {
+			continue
+		}
+		if a.seen++; a.seen == a.x.Nth {
+			serving := slices.IndexFunc(w.c.nodes, func(n *node) bool { return n.addr == t.Gateway })
+			go w.fire(a.x, serving)
+		}
+	}
+}
+
+// Run carries out one drill.
+func Run(ctx context.Context, spec *model.Spec, o Options) (*Result, error) {
+	if o.Program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		o.Program = self
+	}
+	if o.Dir == "" {
+		dir, err := os.MkdirTemp("", "archknot-drill-")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		o.Dir = dir
+	} else if err := os.MkdirAll(o.Dir, 0o755); err != nil {
+		return nil, err
+	}
+	f, err := emulate.Start(spec, "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	w := &watch{strikes: map[string][]*armed{}}
+	f.Worked = func(a emulate.Attempt) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.attempts = append(w.attempts, a)
+	}
+	c, err := newCluster(spec, o.Program, o.Dir, f.Registry)
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	starting, stop := context.WithTimeout(ctx, 30*time.Second+time.Duration(spec.Gateways)*200*time.Millisecond)
+	err = c.ready(starting)
+	stop()
+	if err != nil {
+		return nil, err
+	}
+	if spec.Drill.Peers { // how long they take to find each other is not theirs to tell
+		select {
+		case <-time.After(time.Duration(spec.Drill.Settle) * time.Microsecond):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	ctx, stop = context.WithTimeout(ctx, time.Duration(spec.For)*time.Microsecond+time.Minute)
+	defer stop()
+	before := c.usage()
+	s := &striker{c: c, spec: spec, rng: rand.New(rand.NewPCG(spec.Seed, 41)), began: time.Now()}
+	w.c, w.began = c, s.began
+	w.fire = func(x *model.Strike, serving int) { s.strike(ctx, x, serving) }
+	for i := range spec.Strikes {
+		x := &spec.Strikes[i]
+		if x.When != "" && x.When != "at" {
+			w.strikes[x.When] = append(w.strikes[x.When], &armed{x: x})
+			continue
+		}
+		s.all.Go(func() {
+			select {
+			case <-time.After(time.Until(s.began.Add(time.Duration(x.At) * time.Microsecond))):
+				s.strike(ctx, x, -1)
+			case <-ctx.Done():
+			}
+		})
+	}
+	var addrs []string
+	for _, n := range c.nodes {
+		addrs = append(addrs, n.addr)
+	}
+	drains := drained(spec, s.began)
+	_, left, err := emulate.PlayWatched(ctx, f, spec, addrs, emulate.Watch{State: w.state, Ended: func(t *emulate.Try) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.tries = append(w.tries, *t)
+	}})
+	if err != nil {
+		return nil, err
+	}
+	stop()
+	s.all.Wait()
+	for _, n := range c.nodes {
+		n.signal(syscall.SIGCONT)
+	}
+	res := &Result{Seed: spec.Seed, LeftOut: left, Crashes: c.crashes()}
+	c.spent(before, res)
+	w.quiet()
+	res.measure(spec, w, s)
+	rules := Rules{Attempts: spec.Settings.MaxAttempts, Beside: spec.Settings.SecondCopies, Once: map[string]bool{}, Slack: 50 * time.Millisecond, Drains: drains}
+	for _, k := range spec.Settings.Classes {
+		rules.Once[k.Name] = k.Effect == choice.Unsafe
+	}
+	res.Breaks = Audit(rules, w.tries, w.attempts)
+	return res, nil
+}
+
+// quiet waits until the workers have nothing more to tell.
+func (w *watch) quiet() {
+	for last, end := -1, time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		w.mu.Lock()
+		n := len(w.attempts)
+		w.mu.Unlock()
+		if n == last {
+			return
+		}
+		last = n
+	}
+}
+
+// drained is when workers that drain must get nothing new any more.
+func drained(spec *model.Spec, began time.Time) map[string]time.Time {
+	out := map[string]time.Time{}
+	i := 0
+	for _, g := range spec.Groups {
+		for range g.Count {
+			for _, x := range spec.Faults {
+				if x.Kind == "drain" && x.For == 0 && (x.Worker == i || x.Worker < 0) {
+					out[fmt.Sprintf("%s-%d", g.Name, i+1)] = began.Add(time.Duration(x.At)*time.Microsecond + drainLimit)
+				}
+			}
+			i++
+		}
+	}
+	return out
+}
+
+// drainLimit is how long after a drain was told new work may still come.
+const drainLimit = 2500 * time.Millisecond
+
+// striker carries out strikes.
+type striker struct {
+	c     *cluster
+	spec  *model.Spec
+	rng   *rand.Rand
+	began time.Time
+	all   sync.WaitGroup
+	mu    sync.Mutex
+	first time.Time              // the first strike's
+	ended map[string][]time.Time // by a gateway's address: when its process was told to end
+}
+
+// struck chooses whom a strike is for.
+func (s *striker) struck(x *model.Strike, serving int) (out []*node) {
+	if serving >= 0 {
+		return []*node{s.c.nodes[serving]}
+	}
+	if x.Gateway >= 0 {
+		return []*node{s.c.nodes[x.Gateway%len(s.c.nodes)]}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.rng.Perm(len(s.c.nodes)) {
+		n := s.c.nodes[i]
+		if x.Site >= 0 && n.site != x.Site {
+			continue
+		}
+		if x.Share > 0 && float64(len(out)) >= x.Share*float64(len(s.c.nodes))-0.5 {
+			break
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// strike begins a strike now, and ends it after its time or with the drill.
+func (s *striker) strike(ctx context.Context, x *model.Strike, serving int) {
+	list := s.struck(x, serving)
+	s.mu.Lock()
+	if s.first.IsZero() {
+		s.first = time.Now()
+	}
+	if s.ended == nil {
+		s.ended = map[string][]time.Time{}
+	}
+	if x.Kind == "kill" || x.Kind == "term" {
+		for _, n := range list {
+			s.ended[n.addr] = append(s.ended[n.addr], time.Now())
+		}
+	}
+	s.mu.Unlock()
+	for _, n := range list {
+		switch x.Kind {
+		case "kill":
+			if exited := n.signal(syscall.SIGKILL); exited != nil {
+				<-exited
+			}
+		case "term":
+			n.signal(syscall.SIGTERM)
+		case "freeze":
+			n.signal(syscall.SIGSTOP)
+		}
+	}
+	s.link(x, list, true)
+	if x.For <= 0 {
+		return
+	}
+	select {
+	case <-time.After(time.Duration(x.For) * time.Microsecond):
+	case <-ctx.Done():
+		return
+	}
+	s.link(x, list, false)
+	for _, n := range list {
+		switch x.Kind {
+		case "term":
+			n.mu.Lock()
+			exited := n.exited
+			n.mu.Unlock()
+			select {
+			case <-exited:
+			case <-time.After(2 * time.Second):
+				n.signal(syscall.SIGKILL)
+				<-exited
+			}
+			fallthrough
+		case "kill":
+			if ctx.Err() == nil {
+				_ = s.c.start(n) // one that cannot start is seen as a crash
+			}
+		case "freeze":
+			n.signal(syscall.SIGCONT)
+		}
+	}
+}
+
+// link begins or ends what a strike does to the links.
+func (s *striker) link(x *model.Strike, list []*node, on bool) {
+	rs := s.c.relays
+	if rs == nil {
+		return
+	}
+	switch x.Kind {
+	case "cut", "mute", "deaf":
+		for _, n := range list {
+			for _, o := range s.c.nodes {
+				if slices.Contains(list, o) {
+					continue
+				}
+				if x.Kind != "deaf" {
+					rs.set(n.n, o.n, on)
+				}
+				if x.Kind != "mute" {
+					rs.set(o.n, n.n, on)
+				}
+			}
+		}
+	case "lose", "slow":
+		rs.mu.Lock()
+		defer rs.mu.Unlock()
+		if rs.lose, rs.slow = 0, 0; on && x.Kind == "lose" {
+			rs.lose = x.Factor
+		} else if on {
+			rs.slow = time.Duration(x.Factor * float64(time.Millisecond))
+		}
+	}
+}
+
+// use is what a process has taken up.
+type use struct {
+	pid   int
+	ticks int64
+}
+
+// usage is what the processes have used of the processors.
+func (c *cluster) usage() []use {
+	out := make([]use, len(c.nodes))
+	for i, n := range c.nodes {
+		n.mu.Lock()
+		if n.cmd != nil {
+			out[i] = use{n.cmd.Process.Pid, ticks(n.cmd.Process.Pid)}
+		}
+		n.mu.Unlock()
+	}
+	return out
+}
+
+// ticks is a process's time on processors, in hundredths of a second (proc(5)).
+func ticks(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	u, _ := strconv.ParseInt(fields[11], 10, 64)
+	k, _ := strconv.ParseInt(fields[12], 10, 64)
+	return u + k
+}
+
+// spent enters what the processes that ran all the time used.
+func (c *cluster) spent(before []use, res *Result) {
+	total := int64(0)
+	for i, now := range c.usage() {
+		if now.pid == 0 || now.pid != before[i].pid {
+			continue
+		}
+		total += now.ticks - before[i].ticks
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", now.pid))
+		for line := range strings.Lines(string(text)) {
+			if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+				kb, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
+				res.MemoryMB = max(res.MemoryMB, kb/1024)
+			}
+		}
+		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", now.pid))
+		res.Files = max(res.Files, len(files))
+	}
+	res.CPUMs = float64(total) * 10
+}
+
+// measure tells how the requests ended.
+func (res *Result) measure(spec *model.Spec, w *watch, s *striker) {
+	res.Ends = map[string]int{}
+	type request struct {
+		first, last emulate.Try
+		started     bool
+	}
+	// A client whose request nobody had heard of sends it under a new id: the story
+	// goes on under the first one.
+	byRoot := map[string]*request{}
+	for _, t := range w.tries {
+		r := byRoot[t.Root]
+		if r == nil {
+			r = &request{first: t, last: t}
+			byRoot[t.Root] = r
+		}
+		if t.Ask <= r.first.Ask {
+			r.first = t
+		}
+		if t.Ask >= r.last.Ask {
+			r.last = t
+		}
+	}
+	var firsts []float64
+	for _, root := range sortedKeys(byRoot) {
+		r := byRoot[root]
+		if r.last.Status == 404 && !r.last.Last {
+			continue // sent again as a new one, which is counted
+		}
+		res.Sent++
+		res.Ends[r.last.How]++
+		k := r.first.Class
+		firstAt := r.first.FirstAt
+		if firstAt == 0 {
+			firstAt = r.last.FirstAt
+		}
+		whole := r.last.How == "served"
+		inTime := whole && firstAt > 0 && firstAt-r.first.SentAt <= r.first.Patience
+		worth := 0.0
+		if inTime {
+			if worth = k.Worth; firstAt-r.first.SentAt > k.Aim+k.AimPer1000 {
+				worth *= k.LateWorth
+			}
+			firsts = append(firsts, float64(firstAt-r.first.SentAt)/1000)
+		}
+		res.Asked += k.Worth
+		res.Worth += worth
+		if since := r.first.SentAt - s.first.Sub(s.began).Microseconds(); !s.first.IsZero() && since > -1_000_000 && since < 10_000_000 {
+			res.LostIn += k.Worth - worth
+		}
+		for _, at := range s.ended[r.first.Gateway] {
+			died := at.Sub(s.began).Microseconds()
+			if r.first.SentAt <= died-50_000 && r.first.At >= died {
+				res.Caught++
+				if inTime {
+					res.Saved++
+				}
+			}
+		}
+	}
+	slices.Sort(firsts)
+	res.FirstMs = map[string]float64{}
+	for name, q := range map[string]float64{"p50": 0.5, "p95": 0.95, "p99": 0.99} {
+		if len(firsts) > 0 {
+			res.FirstMs[name] = firsts[min(len(firsts)-1, int(q*float64(len(firsts))))]
+		}
+	}
+	if res.Sent > 0 {
+		res.CPUMs /= float64(res.Sent)
+	}
+}
--- /dev/null
+++ b/internal/drill/relay.go
@@ -0,0 +1,186 @@
+// Package drill starts many processes of the program before an emulated fleet, lets
+// faults happen to them and between them, and checks the rules by what workers and
+// clients saw. Everything is on loopback addresses.
+package drill
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+)
+
+// relays stand before the gateways' links to each other: who speaks to gateway j speaks
+// to relay j.
+type relays struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	lose   float64
+	slow   time.Duration
+	cut    map[[2]int]bool // from, to
+	byPort map[uint16]int  // the gateways' own ports
+	byName map[string]int
+	list   []*relay
+}
+
+type relay struct {
+	all  *relays
+	n    int
+	addr string // where it listens
+	real netip.AddrPort
+	udp  *net.UDPConn
+	mu   sync.Mutex
+	tcp  net.Listener // nil while the gateway's process is dead: a dial is refused then
+}
+
+func newRelays(seed uint64) *relays {
+	return &relays{rng: rand.New(rand.NewPCG(seed, 99)), cut: map[[2]int]bool{}, byPort: map[uint16]int{}, byName: map[string]int{}}
+}
+
+// add opens the relay before a gateway's link.
+func (rs *relays) add(name, real string) (*relay, error) {
+	to, err := netip.ParseAddrPort(real)
+	if err != nil {
+		return nil, err
+	}
+	udp, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	_ = udp.SetReadBuffer(1 << 20)
+	r := &relay{all: rs, n: len(rs.list), real: to, udp: udp, addr: udp.LocalAddr().String()}
+	rs.mu.Lock()
+	rs.list = append(rs.list, r)
+	rs.byPort[to.Port()], rs.byName[name] = r.n, r.n
+	rs.mu.Unlock()
+	if err := r.up(); err != nil {
+		udp.Close()
+		return nil, err
+	}
+	go r.datagrams()
+	return r, nil
+}
+
+func (rs *relays) close() {
+	for _, r := range rs.list {
+		r.udp.Close()
+		r.down()
+	}
+}
+
+// up has the relay take dials, as the gateway's port does while its process lives.
+func (r *relay) up() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tcp != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", r.addr)
+	if err != nil {
+		return err
+	}
+	r.tcp = l
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.dialled(c)
+		}
+	}()
+	return nil
+}
+
+// down has dials refused: the process is dead.
+func (r *relay) down() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tcp != nil {
+		r.tcp.Close()
+		r.tcp = nil
+	}
+}
+
+// set cuts or heals the way from one gateway to another.
+func (rs *relays) set(from, to int, cut bool) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if cut {
+		rs.cut[[2]int{from, to}] = true
+	} else {
+		delete(rs.cut, [2]int{from, to})
+	}
+}
+
+// passes tells whether, and when, something goes through.
+func (rs *relays) passes(from, to int, datagram bool) (bool, time.Duration) {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	if rs.cut[[2]int{from, to}] || datagram && rs.lose > 0 && rs.rng.Float64() < rs.lose {
+		return false, 0
+	}
+	if datagram && rs.slow > 0 {
+		return true, time.Duration(rs.rng.Float64() * float64(rs.slow))
+	}
+	return true, 0
+}
+
+func (r *relay) datagrams() {
+	b := make([]byte, 64<<10)
+	for {
+		n, from, err := r.udp.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if strings.Contains(err.Error(), "closed") {
+				return
+			}
+			continue // told that the gateway's port is closed
+		}
+		r.all.mu.Lock()
+		i, ok := r.all.byPort[from.Port()]
+		r.all.mu.Unlock()
+		if !ok {
+			continue
+		}
+		if pass, late := r.all.passes(i, r.n, true); pass && late > 0 {
+			text := append([]byte(nil), b[:n]...)
+			time.AfterFunc(late, func() { r.udp.WriteToUDPAddrPort(text, r.real) })
+		} else if pass {
+			r.udp.WriteToUDPAddrPort(b[:n], r.real)
+		}
+	}
+}
+
+// dialled passes on a probe, which begins with who asks. One that may not pass is left
+// without an answer, as on a network that is cut.
+func (r *relay) dialled(c net.Conn) {
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	line, err := bufio.NewReader(io.LimitReader(c, 256)).ReadString('\n')
+	if err != nil {
+		return
+	}
+	who, _, _ := strings.Cut(line, " ")
+	r.all.mu.Lock()
+	i, ok := r.all.byName[who]
+	r.all.mu.Unlock()
+	there, _ := r.all.passes(i, r.n, false)
+	back, _ := r.all.passes(r.n, i, false)
+	if !ok || !there || !back {
+		io.Copy(io.Discard, c) // until the other side has waited long enough
+		return
+	}
+	to, err := net.DialTimeout("tcp", r.real.String(), time.Second)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	_ = to.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprint(to, line)
+	io.Copy(c, to)
+}
--- a/internal/experiment/stats.go
+++ b/internal/experiment/stats.go
@@ -124,3 +124,33 @@
 	t := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}.Quantile(0.975) * se
 	return min(low, mean-t), max(high, mean+t)
 }
+
+// Interval is a mean with its 95% interval.
+type Interval struct {
+	N    int     `json:"n"`
+	Mean float64 `json:"mean"`
+	Low  float64 `json:"low"`
+	High float64 `json:"high"`
+}
+
+// String is for tables.
+func (i Interval) String() string {
+	if i.N < 2 {
+		return fmt.Sprintf("%.4g", i.Mean)
+	}
+	return fmt.Sprintf("%.4g (%.4g to %.4g, n=%d)", i.Mean, i.Low, i.High, i.N)
+}
+
+// MeanInterval is the mean of some runs' figures with Student's interval.
+func MeanInterval(list []float64) Interval {
+	n := len(list)
+	if n == 0 {
+		return Interval{}
+	}
+	i := Interval{N: n, Mean: stat.Mean(list, nil)}
+	if i.Low, i.High = i.Mean, i.Mean; n > 1 {
+		half := distuv.StudentsT{Sigma: 1, Nu: float64(n - 1)}.Quantile(0.975) * stat.StdDev(list, nil) / math.Sqrt(float64(n))
+		i.Low, i.High = i.Mean-half, i.Mean+half
+	}
+	return i
+}
--- a/internal/fleet/emulate/clients.go
+++ b/internal/fleet/emulate/clients.go
@@ -1,16 +1,11 @@
 package emulate
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -25,13 +20,18 @@
 // Play sends a specification's traffic to gateways for its time, with its faults at
 // the fleet, and tells how it ended. The gateways' addresses are on loopback.
 func Play(ctx context.Context, f *Fleet, spec *model.Spec, gateways []string) (res *model.Result, leftOut int, err error) {
+	return PlayWatched(ctx, f, spec, gateways, Watch{})
+}
+
+// PlayWatched is Play with somebody who is told of each try as it goes.
+func PlayWatched(ctx context.Context, f *Fleet, spec *model.Spec, gateways []string, watch Watch) (res *model.Result, leftOut int, err error) {
 	for _, g := range gateways {
 		host, _, err := net.SplitHostPort(g)
 		if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
 			return nil, 0, fmt.Errorf("%s: %w", g, errAddr)
 		}
 	}
-	p := &player{spec: spec, gateways: gateways, began: time.Now(), res: model.NewResult(spec), slots: make(chan struct{}, mostAtOnce),
+	p := &player{spec: spec, watch: watch, gateways: gateways, began: time.Now(), res: model.NewResult(spec), slots: make(chan struct{}, mostAtOnce),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000, DisableCompression: true, IdleConnTimeout: 5 * time.Second}}}
 	ctx, stop := context.WithTimeout(ctx, time.Duration(spec.For)*time.Microsecond)
 	defer stop()
@@ -64,6 +64,7 @@
 
 type player struct {
 	spec     *model.Spec
+	watch    Watch
 	gateways []string
 	faults   []model.Fault
 	began    time.Time
@@ -160,7 +161,7 @@
 		in, out := from.Turn(n)
 		how := ""
 		for try := 0; ; try++ {
-			e := p.send(s, class, &in, out, p.gateways[rng.IntN(len(p.gateways))])
+			e := p.request(s, class, &in, out, rng)
 			how = e.How
 			if (how == "refused" || how == "contract") && try < s.Retries {
 				p.mu.Lock()
@@ -181,92 +182,3 @@
 		}
 	}
 }
-
-type ended struct {
-	model.Ended
-	after choice.Micros // that it was advised
-}
-
-// send sends one request in the platform's form, and reads its answer to the end.
-func (p *player) send(s *model.Stream, class *choice.Class, in *choice.Request, out int, gateway string) ended {
-	p.mu.Lock()
-	p.ids++
-	id := p.ids
-	p.mu.Unlock()
-	patience := s.PatienceOf(class)
-	e := ended{Ended: model.Ended{Class: class, In: in, Out: out, SentAt: p.now(), Attempts: 1}}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	// Its patience is for the first token; the answer may take longer, up to a bound.
-	var mu sync.Mutex
-	first := false
-	timer := time.AfterFunc(time.Duration(patience)*time.Microsecond, func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if !first {
-			stop()
-		}
-	})
-	defer timer.Stop()
-	bound := time.AfterFunc(10*time.Minute, stop)
-	defer bound.Stop()
-	const body = `{"model":"chat","stream":true}`
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateway+"/v1/chat/completions", strings.NewReader(body))
-	if err != nil {
-		panic(err)
-	}
-	h := req.Header
-	h.Set("Req-Id", fmt.Sprintf("e%016x%08x", p.spec.Seed, id))
-	h.Set("Req-Kind", in.Class)
-	h.Set("Req-Owner", in.Tenant)
-	h.Set("Req-Deadline", fmt.Sprintf("%du", patience))
-	if in.Session != 0 {
-		h.Set("Req-Key", fmt.Sprintf("%016x", in.Session))
-	}
-	extra := fmt.Sprintf("prompt_len=%d,max_out=%d", in.PromptTokens, in.MaxTokens)
-	if in.Prefix != 0 {
-		extra += fmt.Sprintf(",prefix=%016x,prefix_len=%d", in.Prefix, in.PrefixTokens)
-	}
-	h.Set("Req-Extra", extra)
-	h.Set("X-Emulate-Out", strconv.Itoa(out))
-	resp, err := p.client.Do(req)
-	if err != nil {
-		e.How, e.At = "failed", p.now()
-		if e.At-e.SentAt >= patience {
-			e.How = "late"
-		}
-		return e
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
-		e.How, e.At = "refused", p.now()
-		if resp.StatusCode == http.StatusTooManyRequests && bytes.Contains(text, []byte(`"contract"`)) {
-			e.How = "contract"
-		}
-		if v, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && v > 0 && v < 3600 {
-			e.after = choice.Micros(v * 1e6)
-		}
-		return e
-	}
-	done := false
-	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-		if e.FirstAt == 0 && bytes.HasPrefix(lines.Bytes(), []byte("data: ")) {
-			mu.Lock()
-			first = true
-			mu.Unlock()
-			e.FirstAt = p.now()
-		}
-		done = done || bytes.Equal(lines.Bytes(), []byte("data: [DONE]"))
-	}
-	e.At = p.now()
-	switch {
-	case done:
-		e.How = "served"
-	case e.FirstAt == 0 && e.At-e.SentAt >= patience:
-		e.How = "late"
-	default:
-		e.How = "broken"
-	}
-	return e
-}
--- a/internal/fleet/emulate/emulate.go
+++ b/internal/fleet/emulate/emulate.go
@@ -30,6 +30,20 @@
 	registry *registry
 	spec     *model.Spec
 	began    time.Time
+
+	// Worked, if set before any request comes, is told of each attempt that ends at a
+	// worker, by many tasks at once.
+	Worked func(Attempt)
+}
+
+// Attempt is a request as a worker met it. Times are the machine's.
+type Attempt struct {
+	Root, ID, Worker string
+	Class            string
+	From, To         time.Time // from its last byte until nothing of it runs there
+	Until            time.Time // that the gateway said it would wait for the first token
+	Declined         bool      // it never ran
+	Whole            bool      // the answer was written to its end
 }
 
 // Worker is one on a socket.
@@ -233,6 +247,15 @@
 	if err != nil || made < 1 || made > 1<<20 {
 		made = max(1, q.MaxTokens/4)
 	}
+	met := Attempt{ID: in.ID, Root: in.ID, Worker: w.Name, Class: q.Class, From: time.Now(), Until: time.Now().Add(time.Duration(in.Wait) * time.Microsecond)}
+	if rest, asked, err := socket.ReadRest(r.Header); asked && err == nil {
+		met.Root = rest.ID
+	}
+	defer func() {
+		if met.To = time.Now(); w.fleet.Worked != nil {
+			w.fleet.Worked(met)
+		}
+	}()
 	w.mu.Lock()
 	if w.w == nil {
 		w.mu.Unlock()
@@ -251,7 +274,7 @@
 		}
 	}
 	w.mu.Unlock()
-	if !taken {
+	if met.Declined = !taken; !taken {
 		out.Header().Set("Srv-Declined", "1")
 		out.Header().Set("Srv-Load", load)
 		out.WriteHeader(http.StatusServiceUnavailable)
@@ -267,11 +290,11 @@
 		}
 		w.mu.Unlock()
 	}()
-	w.answer(out, r, j, q.PromptTokens, spoil, reset)
+	met.Whole = w.answer(out, r, j, q.PromptTokens, spoil, reset)
 }
 
-// answer streams a job's tokens as they are made.
-func (w *Worker) answer(out http.ResponseWriter, r *http.Request, j *job, prompt int, spoil, reset bool) {
+// answer streams a job's tokens as they are made, and tells whether it came to the end.
+func (w *Worker) answer(out http.ResponseWriter, r *http.Request, j *job, prompt int, spoil, reset bool) (whole bool) {
 	flush := http.NewResponseController(out)
 	begun, kept := false, 0
 	for {
@@ -279,7 +302,7 @@
 		select {
 		case e = <-j.events:
 		case <-r.Context().Done():
-			return
+			return false
 		}
 		if !begun {
 			begun = true
@@ -296,7 +319,7 @@
 					}
 					c.Close()
 				}
-				return
+				return false
 			}
 			if spoil && e.Made > 2 {
 				fmt.Fprint(out, "data: {\"choices\":[{\"index\":0,\"del\n\n")
@@ -304,7 +327,7 @@
 				fmt.Fprintf(out, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%s \"},\"finish_reason\":null}]}\n\n", word(e.Made))
 			}
 			if flush.Flush() != nil {
-				return
+				return false
 			}
 		case worker.Done:
 			w.mu.Lock()
@@ -312,7 +335,7 @@
 			w.mu.Unlock()
 			fmt.Fprintf(out, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":%d}}}\n\n"+
 				"data: [DONE]\n\n: Srv-Load: %s\n\n", prompt, e.Made, kept, load)
-			return
+			return true
 		}
 	}
 }
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -47,6 +47,7 @@
 	Shared        int     // tokens of them
 	Patience      float64 // seconds to the first token; 0: the class's deadline
 	Retries       int     // by clients, after a refusal
+	Rest          int     // asks for the rest of an answer that broke (the emulator alone)
 }
 
 // Fault is something that goes wrong for a while.
@@ -89,6 +90,44 @@
 	Book      contract.Settings
 	Capture   string // folder of captures; "": none
 	Window    choice.Micros
+	Drill     Drill
+	Strikes   []Strike // at gateways, by drills with processes alone
+}
+
+// Drill is what a drill with processes needs besides.
+type Drill struct {
+	Peers   bool          // gateways go on with each other's work
+	Relays  bool          // what they say to each other goes through relays, which strikes need
+	Copies  int           // keepers of each request
+	Records int           // of others' requests that a gateway keeps
+	Sites   int           // gateways are dealt to so many
+	Memory  int           // of a gateway, megabytes
+	Files   int           // descriptors
+	Settle  choice.Micros // from the last gateway's start to the traffic
+}
+
+// Strike is something that happens to gateways.
+type Strike struct {
+	At, For choice.Micros // For 0: till the end
+	Kind    string        // one of Strikes
+	Gateway int           // -1: by share or site, or that which serves
+	Share   float64
+	Site    int    // -1: any
+	When    string // "": at a time; else when a request is in this state, at the gateway that serves it
+	Nth     int    // which request
+	Factor  float64
+}
+
+// Strikes are the kinds: what they do.
+var Strikes = map[string]string{
+	"kill":   "SIGKILL; started again after For",
+	"term":   "SIGTERM; started again after For",
+	"freeze": "SIGSTOP, and SIGCONT after For",
+	"cut":    "nothing passes between those struck and the other gateways",
+	"mute":   "nothing passes from those struck to the others",
+	"deaf":   "nothing passes from the others to those struck",
+	"lose":   "a part of Factor of all datagrams is lost",
+	"slow":   "datagrams take up to Factor milliseconds more, and pass each other",
 }
 
 // Check tells what is wrong with it.
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -127,7 +127,14 @@
 	}
 	defer g.clients.leave(job.ID)
 
-	req := memory.NewRequest(r.Context(), job.ID, job.Request, sentAt+job.Wait, max(mostAttempts, g.o.Settings.MaxAttempts))
+	hand, problem := g.takeUp(r, &job, sentAt)
+	if problem != nil {
+		g.turnAway(w, problem)
+		return
+	}
+	defer hand.let()
+	ctx := hand.context(r)
+	req := memory.NewRequest(ctx, job.ID, job.Request, sentAt+job.Wait, max(mostAttempts, g.o.Settings.MaxAttempts))
 	answer, worker, delegations, first, retryAfter := "left", "", 0, choice.Micros(0), choice.Micros(0)
 	defer func() {
 		if g.o.Ended != nil {
@@ -143,18 +150,22 @@
 		var a memory.Action
 		select {
 		case a = <-req.Actions:
-		case <-r.Context().Done(): // its delegations end with it
+		case <-ctx.Done(): // its delegations end with it
 			g.loop.events <- left{req}
+			if hand.lost() {
+				answer = "lost"
+				panic(http.ErrAbortHandler)
+			}
 			return
 		}
 		switch a.Kind {
 		case memory.Delegate:
 			delegations++
-			go g.delegate(r, body, a.Delegation)
+			g.send(r, body, a.Delegation, hand)
 		case memory.PassOn:
 			worker, first = a.Delegation.Worker.Instance.ID, g.clock.now()-sentAt
-			whole := passOn(w, a.Delegation)
-			if r.Context().Err() != nil {
+			whole := passOn(w, a.Delegation, hand)
+			if r.Context().Err() != nil || hand.lost() {
 				g.loop.events <- left{req}
 			} else if whole {
 				answer = "served"
@@ -185,12 +196,19 @@
 
 // passOn gives the client a delegation's events, each as it comes, and tells
 // whether the stream came whole.
-func passOn(w http.ResponseWriter, d *memory.Delegation) bool {
+func passOn(w http.ResponseWriter, d *memory.Delegation, hand *hand) bool {
 	defer d.Cancel()
 	out := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
 	for events := range d.Events {
+		events, ok := hand.fresh(events)
+		if !ok || !hand.mine() {
+			return false
+		}
+		if len(events) == 0 {
+			continue
+		}
 		// A client that reads nothing for so long has as good as left.
 		_ = out.SetWriteDeadline(time.Now().Add(clientStall))
 		if _, err := w.Write(events); err != nil || out.Flush() != nil {
@@ -198,7 +216,7 @@
 		}
 	}
 	_ = out.SetWriteDeadline(time.Now().Add(clientStall))
-	return d.Whole
+	return d.Whole && hand.whole()
 }
 
 // clientStall is how long a client may read nothing of what is sent to it.
--- a/internal/gateway/contracts.go
+++ b/internal/gateway/contracts.go
@@ -300,6 +300,10 @@
 	}
 	v := l.chargeFor(r, 0, &r.Charge)
 	l.notices()
+	if v.Refuse && r.In.Spent > 0 { // admitted once, where it was lost: it goes on, for the least worth
+		r.In.Factor = leastFactor
+		return true
+	}
 	if v.Refuse {
 		r.Done = true
 		r.Actions <- memory.Action{Kind: memory.Contract, Reason: v.Reason, RetryAfter: v.RetryAfter}
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -18,22 +18,34 @@
 
 // delegate carries out one delegation from its send to its end and reports its
 // one outcome. The stream goes to d.Events as it comes.
-func (g *Gateway) delegate(r *http.Request, body []byte, d *memory.Delegation) {
+func (g *Gateway) delegate(r *http.Request, body []byte, d *memory.Delegation, hand *hand) {
 	defer d.Cancel()
 	e := ended{d: d, status: choice.ConnectFailed}
-	if d.Worker.Addr != "" {
-		e.status = g.exchange(r, body, d, &e)
+	switch {
+	case !hand.may(d):
+		e.status = choice.NotSent
+	case d.Worker.Addr != "":
+		e.status = g.exchange(r, body, d, &e, hand)
 	}
 	d.Whole = e.status == choice.Served
 	close(d.Events)
 	g.loop.events <- e
 }
 
+// send starts a delegation's task.
+func (g *Gateway) send(r *http.Request, body []byte, d *memory.Delegation, hand *hand) {
+	if hand != nil {
+		hand.running.Go(func() { g.delegate(r, body, d, hand) })
+		return
+	}
+	go g.delegate(r, body, d, nil)
+}
+
 // silence is how long a worker may say nothing before its kept connections
 // are no longer trusted.
 const silence = time.Second
 
-func (g *Gateway) exchange(r *http.Request, body []byte, d *memory.Delegation, e *ended) choice.Status {
+func (g *Gateway) exchange(r *http.Request, body []byte, d *memory.Delegation, e *ended, hand *hand) choice.Status {
 	cutAt := g.clock.at(d.CutAt)
 	ctx, stop := context.WithDeadline(d.Ctx, cutAt)
 	defer stop()
@@ -55,9 +67,10 @@
 			g.pool.Drop(c)
 		}
 	}()
-	if d.Ctx.Err() != nil { // called off while it connected: nothing may go out any more
+	if !hand.mine() || d.Ctx.Err() != nil { // called off while it connected: nothing may go out any more
 		return choice.Cancelled
 	}
+	hand.sends()
 	c.SetDeadline(cutAt)
 	buffers := net.Buffers{socket.JobHead(r, len(body), d.CutAt-g.clock.now()), body}
 	if _, err := buffers.WriteTo(c.Conn); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"archknot/choice"
 	"archknot/internal/contract/ledger"
 	"archknot/internal/memory"
+	"archknot/internal/peers"
 	"archknot/internal/wire/socket"
 )
 
@@ -40,9 +41,10 @@
 	CallTimeout    time.Duration // how much longer an answer of the registry may take
 	DrainAccept    time.Duration // how long SIGTERM leaves the listener open
 
-	Capture   *Capture      // nil: nothing is recorded
-	Contracts *Contracts    // nil: there are none
-	Ledger    *ledger.Store // of teams' balances; nil: they are not kept
+	Capture   *Capture       // nil: nothing is recorded
+	Contracts *Contracts     // nil: there are none
+	Ledger    *ledger.Store  // of teams' balances; nil: they are not kept
+	Peers     *peers.Service // nil: gateways do not talk
 
 	Ended func(bad bool) // told of each request that ends: late or not served, or well; nil: nobody
 }
@@ -99,6 +101,9 @@
 	go g.watch(ctx)
 	go g.sweep(ctx)
 	go g.bookkeeping(ctx)
+	if g.o.Peers != nil {
+		go g.o.Peers.Run(ctx)
+	}
 	err := g.server.Serve(g.clients.listen(l))
 	if err == http.ErrServerClosed {
 		err = nil
@@ -132,6 +137,7 @@
 	// by now a request on one would have come.
 	unused := time.AfterFunc(g.o.DrainAccept/4, g.clients.closeUnused)
 	defer unused.Stop()
+	go g.handOver(ctx)
 	return g.server.Shutdown(ctx)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -244,7 +244,7 @@
 			}()
 			in, _ := http.NewRequest("POST", "/v1/chat/completions", nil)
 			in.RequestURI = "/v1/chat/completions"
-			go g.delegate(in, []byte("{}"), d)
+			go g.delegate(in, []byte("{}"), d, nil)
 			for {
 				e, ok := (<-g.loop.events).(ended)
 				if !ok {
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -26,6 +26,7 @@
 	"archknot/internal/gateway"
 	"archknot/internal/incident"
 	"archknot/internal/metrics"
+	"archknot/internal/peers"
 	"archknot/internal/revision"
 )
 
@@ -78,6 +79,16 @@
 	return out
 }
 
+// link opens the way to the other gateways, if there is one; nil: there is none.
+func link(p conf.Peers, g gateway.Options) (*peers.Service, error) {
+	if p.Listen == "" {
+		return nil, nil
+	}
+	return peers.Start(peers.Options{Name: g.Name, Listen: p.Listen, Advertise: p.Advertise, Site: p.Site, Join: strings.FieldsFunc(p.Join, func(r rune) bool { return r == ',' }),
+		Copies: p.Copies, Permits: max(0, g.Settings.MaxAttempts-1), Silence: p.Silence, Remember: p.Remember, Frozen: p.Frozen, HandOver: p.HandOver,
+		Records: p.Records, Each: p.Each, Seed: g.Seed})
+}
+
 // openLedger opens the store of balances, if there is one.
 func (s *server) openLedger() (closeIt func(), err error) {
 	path := s.conf.Contracts.Store
@@ -145,6 +156,9 @@
 	s.c.Gateway.Capture = recording(s.c.Gateway.Name, s.conf)
 	runtime.GOMAXPROCS(s.c.Cores)
 	debug.SetMemoryLimit(s.c.MemoryMB << 20)
+	if s.c.Gateway.Peers, err = link(s.conf.Peers, s.c.Gateway); err != nil {
+		return err
+	}
 	if s.g, err = gateway.New(s.c.Gateway); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -279,6 +293,9 @@
 	if was.Contracts.Store != settings.Contracts.Store {
 		slog.Warn("reload", "needs_restart", "contracts.store")
 	}
+	if was.Peers != settings.Peers {
+		slog.Warn("reload", "needs_restart", "peers")
+	}
 	if was.Metrics != settings.Metrics {
 		s.metrics.Close()
 		if err := s.listenMetrics(); err != nil {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	"archknot/choice"
 )
@@ -23,22 +25,9 @@
 		AimUsPer1000 []float64 `json:"aimUsPer1000PromptTokens"`
 		TokenAimUs   []float64 `json:"tokenAimUs"`
 	} `json:"extra"`
-	RequestClasses []struct {
-		Name         string  `json:"name"`
-		TargetUs     int64   `json:"targetUs"`
-		DeadlineUs   int64   `json:"deadlineUs"`
-		Points       float64 `json:"points"`
-		LateShare    float64 `json:"lateShare"`
-		Effect       string  `json:"effect"`
-		Group        string  `json:"group"`
-		MemorySpanUs int64   `json:"memorySpanUs"`
-		Streamed     bool    `json:"streamed"`
-	} `json:"requestClasses"`
-	Tenants []struct {
-		Name          string  `json:"name"`
-		AllowancePerS float64 `json:"allowancePerS"`
-	} `json:"tenants"`
-	Feedback struct {
+	RequestClasses []requestClass `json:"requestClasses"`
+	Tenants        []tenant       `json:"tenants"`
+	Feedback       struct {
 		Via string `json:"via"`
 	} `json:"feedback"`
 	Limits struct {
@@ -65,6 +54,23 @@
 	} `json:"penalties"`
 }
 
+type requestClass struct {
+	Name         string  `json:"name"`
+	TargetUs     int64   `json:"targetUs"`
+	DeadlineUs   int64   `json:"deadlineUs"`
+	Points       float64 `json:"points"`
+	LateShare    float64 `json:"lateShare"`
+	Effect       string  `json:"effect"`
+	Group        string  `json:"group"`
+	MemorySpanUs int64   `json:"memorySpanUs"`
+	Streamed     bool    `json:"streamed"`
+}
+
+type tenant struct {
+	Name          string  `json:"name"`
+	AllowancePerS float64 `json:"allowancePerS"`
+}
+
 // oneOf maps a word to its value, or tells what was expected.
 func oneOf[T any](field, word string, known map[string]T) (T, error) {
 	v, ok := known[word]
@@ -139,3 +145,38 @@
 	}
 	return s, nil
 }
+
+// WriteSettings is the settings object that ParseSettings reads as these settings: for
+// those who start gateways.
+func WriteSettings(s choice.Settings) ([]byte, error) {
+	var out setup
+	out.SelfIndex, out.NInstances, out.Zone, out.Zones, out.Kinds = s.Self, s.Gateways, s.Zone, s.Zones, s.Kinds
+	out.OverShareWorth, out.TickUs = s.OverShareWorth, s.Tick
+	l := &out.Limits
+	l.MayProbe, l.Peers, l.Cancelling, l.SecondCopies, l.RetryAfter = s.MayProbe, s.MayTellPeers, s.MayCancel, s.SecondCopies, s.RetryAfter
+	l.MaxAttempts, l.MaxRetryAfterUs, l.Multiplex, l.ConnIdleUs = s.MaxAttempts, s.MaxRetryAfter, s.ConnStreams, s.ConnIdle
+	r := &out.Rules
+	r.StartCapacity, r.ColdUs, r.FallMultiple, r.TipAfterUs = s.StartCapacity, s.ColdFor, s.FallMultiple, s.FallSpan
+	out.Penalties.CrossZone, out.Penalties.Probe, out.Penalties.Handshake = s.PriceCrossZone, s.PriceProbe, s.PriceHandshake
+	out.Feedback.Via, out.Weights, out.Discovery = wordOf(viaWords, s.ReportVia), wordOf(weightWords, s.Weights), wordOf(discoveryWords, s.AskRegistry)
+	for _, c := range s.Classes {
+		out.Extra.AimUsPer1000 = append(out.Extra.AimUsPer1000, float64(c.AimPer1000))
+		out.Extra.TokenAimUs = append(out.Extra.TokenAimUs, float64(c.TokenAim))
+		out.RequestClasses = append(out.RequestClasses, requestClass{c.Name, c.Aim, c.Deadline, c.Worth, c.LateWorth, wordOf(effectWords, c.Effect),
+			wordOf(scopeWords, c.Scope), c.RepeatsKept, c.Stream})
+	}
+	for _, t := range s.Tenants {
+		out.Tenants = append(out.Tenants, tenant{t.Name, t.QuotaPerS})
+	}
+	return json.Marshal(out)
+}
+
+// wordOf is the first of the words, in their order, that stands for a value.
+func wordOf[T comparable](known map[string]T, v T) string {
+	for _, word := range slices.Sorted(maps.Keys(known)) {
+		if known[word] == v && word != "" {
+			return word
+		}
+	}
+	return ""
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"archknot/choice"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // setupText is a small settings object with keys that are not known.
@@ -171,3 +173,20 @@
 		}
 	})
 }
+
+// What is written is read as it was.
+func TestSettingsRoundTrip(t *testing.T) {
+	in := choice.Settings{Self: 2, Gateways: 5, Zone: "a", Zones: []string{"a", "b"}, Kinds: []string{"k"}, OverShareWorth: 0.05, Tick: 2000, ReportVia: choice.ReportInline,
+		Weights: choice.WeightNominal, AskRegistry: true, MayProbe: true, MayCancel: true, SecondCopies: true, RetryAfter: true, MaxAttempts: 3, MaxRetryAfter: 2_000_000,
+		StartCapacity: 0.3, FallMultiple: 3, ColdFor: 8_000_000, FallSpan: 1_500_000, ConnStreams: 1, ConnIdle: 60_000_000, PriceCrossZone: 0.02, PriceHandshake: 0.02, PriceProbe: 0.002,
+		Classes: []choice.Class{{Name: "once", Aim: 1, AimPer1000: 2, TokenAim: 3, Deadline: 4, Worth: 5, LateWorth: 0.5, Effect: choice.Unsafe, Stream: true}},
+		Tenants: []choice.Tenant{{Name: "t", QuotaPerS: 7}}}
+	text, err := WriteSettings(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := ParseSettings(text)
+	if diff := cmp.Diff(in, out); err != nil || diff != "" {
+		t.Error(err, diff)
+	}
+}
