Questions between gateways are said again; clients of the drill heed an overload reply

A datagram that was lost left a question to its time limit: with 5% lost, claims that all keepers must note were refused. Questions are repeated each quarter of the time they have; answers were idempotent already. In the drill a client that is told of an overload while it asks for the rest now asks again, and a request that nobody had heard of is a new one.

--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -95,6 +95,9 @@
 	return c, nil
 }
 
+// dealt are the addresses that drills of this process were given.
+var dealt sync.Map
+
 // free finds a port that nothing uses, below those that the system deals out itself.
 func (c *cluster) free() (string, error) {
 	for range 200 {
@@ -109,6 +112,9 @@
 			continue
 		}
 		u.Close()
+		if _, taken := dealt.LoadOrStore(addr, true); taken {
+			continue // by another drill of this process, which has not used it yet
+		}
 		return addr, nil
 	}
 	return "", errors.New("no free port found")
--- a/internal/fleet/emulate/tries.go
+++ b/internal/fleet/emulate/tries.go
@@ -33,6 +33,7 @@
 	Class               *choice.Class
 	Out                 int // tokens of the whole answer
 	Patience            choice.Micros
+	Born                choice.Micros // when the request's first try was sent, under whatever id
 	SentAt, FirstAt, At choice.Micros // since the traffic began; FirstAt 0: none
 	Status              int           // 0: the connection broke first
 	Text                string        // of an answer that is not 200
@@ -66,16 +67,22 @@
 			}
 		}
 		t.How = e.How
-		if t.Status == http.StatusNotFound && len(have) == 0 && n < s.Rest {
-			// No gateway has heard of it: the client sends it as a new request.
+		t.Born = whole.SentAt
+		inTime := whole.FirstAt > 0 || p.now()-whole.SentAt < t.Patience
+		fresh := t.Status == http.StatusNotFound && len(have) == 0 // nobody has heard of it
+		if again := fresh || t.Status == http.StatusServiceUnavailable; again && n < s.Rest && inTime {
+			// A new request, or the same ask once more where there was no room.
 			if p.watch.Ended != nil {
 				p.watch.Ended(t)
 			}
-			root, ask = p.id(), -1
+			if fresh || ask == 0 {
+				root, ask = p.id(), -1
+			}
+			time.Sleep(time.Duration(min(max(e.after, 10_000), 500_000)) * time.Microsecond)
 			continue
 		}
 		// No first token yet: it is waited for no longer than the first try would have.
-		t.Last = n >= s.Rest || t.How != "broken" && t.How != "failed" || whole.FirstAt == 0 && p.now()-whole.SentAt >= t.Patience
+		t.Last = n >= s.Rest || t.How != "broken" && t.How != "failed" || !inTime
 		if p.watch.Ended != nil {
 			p.watch.Ended(t)
 		}
--- a/internal/takeover/holder.go
+++ b/internal/takeover/holder.go
@@ -116,15 +116,14 @@
 
 func (n *Node) putWant(now Micros, id string, h *hold, to Member) {
 	q := h.want
-	n.op++
-	q.op, q.to, q.since, q.probed = n.op, to, now, false
-	n.send(to, Message{Kind: Want, ID: id, Op: q.op, Holder: n.self, Epoch: h.epoch, Ask: h.ask, Chain: q.chain,
+	q.to = to
+	n.ask(now, q, []Member{to}, Message{Kind: Want, ID: id, Holder: n.self, Epoch: h.epoch, Ask: h.ask, Chain: q.chain,
 		Dead: n.proofs(n.chain(h.keepers, q.chain))})
 }
 
 func (n *Node) wanting(now Micros, id string, h *hold) {
 	q := h.want
-	switch late := now - q.since; {
+	switch late := n.wait(now, q); {
 	case n.isDead(q.to):
 		if to, ok := n.first(n.chain(h.keepers, q.chain)); ok {
 			n.putWant(now, id, h, to)
@@ -134,9 +133,6 @@
 	case late >= 2*n.s.Silence: // the keeper itself waits for one behind it
 		h.spent[q.chain] = true // what is given now is not heard any more
 		n.nextChain(now, id, h)
-	case late >= n.s.Silence/4 && !q.probed:
-		q.probed = true
-		n.probe(q.to)
 	}
 }
 
@@ -151,28 +147,19 @@
 	if h.check != nil {
 		return
 	}
-	n.op++
-	h.check = &question{op: n.op, since: now, waiting: slices.DeleteFunc(slices.Clone(h.keepers), n.isDead)}
-	for _, k := range h.check.waiting {
-		n.send(k, Message{Kind: Check, ID: id, Op: n.op, Holder: n.self, Epoch: h.epoch, Ask: h.ask})
-	}
+	h.check = &question{}
+	n.ask(now, h.check, h.keepers, Message{Kind: Check, ID: id, Holder: n.self, Epoch: h.epoch, Ask: h.ask})
 	n.checking(now, id, h)
 }
 
 func (n *Node) checking(now Micros, id string, h *hold) {
 	q := h.check
-	q.waiting = slices.DeleteFunc(q.waiting, n.isDead)
-	switch late := now - q.since; {
+	switch late := n.wait(now, q); {
 	case len(q.waiting) == 0:
 		h.check = nil
 		n.out = append(n.out, Output{Do: Confirmed, ID: id, OK: true})
 	case late >= n.s.Silence: // one that cannot be asked may have given it to another
 		n.stop(id, h)
-	case late >= n.s.Silence/4 && !q.probed:
-		q.probed = true
-		for _, m := range q.waiting {
-			n.probe(m)
-		}
 	}
 }
 
@@ -184,15 +171,9 @@
 		n.out = append(n.out, Output{Do: Claimed, ID: id, Ask: ask, Reason: Taken})
 		return
 	}
-	n.op++
-	c := &claim{ask: ask, question: question{op: n.op, chain: -1, since: now}}
+	c := &claim{ask: ask, question: question{chain: -1}}
 	n.claims[id] = c
-	for _, m := range candidates {
-		if !n.isDead(m) {
-			c.waiting = append(c.waiting, m)
-			n.send(m, Message{Kind: Find, ID: id, Op: c.op})
-		}
-	}
+	n.ask(now, &c.question, candidates, Message{Kind: Find, ID: id})
 	n.claiming(now, id, c)
 }
 
@@ -206,14 +187,7 @@
 
 // claiming takes a claim a step on.
 func (n *Node) claiming(now Micros, id string, c *claim) {
-	late := now - c.since
-	c.waiting = slices.DeleteFunc(c.waiting, n.isDead)
-	if late >= n.s.Silence/4 && !c.probed {
-		c.probed = true
-		for _, m := range c.waiting {
-			n.probe(m)
-		}
-	}
+	late := n.wait(now, &c.question)
 	switch c.phase {
 	case finding:
 		// The first to know it will do: its list has all the others.
@@ -252,9 +226,9 @@
 		if !ok {
 			continue
 		}
-		n.op++
-		c.op, c.to, c.since, c.probed, c.waiting = n.op, to, now, false, []Member{to}
-		n.send(to, Message{Kind: Claim, ID: id, Op: c.op, Ask: c.rec.Ask, Next: c.ask, Chain: c.chain, Holder: c.rec.Holder, Epoch: c.rec.Epoch, Dead: n.proofs(chain)})
+		c.to = to
+		n.ask(now, &c.question, []Member{to}, Message{Kind: Claim, ID: id, Ask: c.rec.Ask, Next: c.ask, Chain: c.chain, Holder: c.rec.Holder, Epoch: c.rec.Epoch,
+			Dead: n.proofs(chain)})
 		return
 	}
 	n.refuse(id, c, Spent)
@@ -301,16 +275,10 @@
 // register tells all keepers of the new holder. Where nothing may run beside the
 // work taken over, all have to have noted it, or be dead, before it begins.
 func (n *Node) register(now Micros, id string, c *claim) {
-	c.phase, c.since, c.probed, c.waiting = marking, now, false, nil
-	n.op++
-	c.op = n.op
-	for _, k := range c.rec.Keepers {
-		if k != c.to && !n.isDead(k) {
-			c.waiting = append(c.waiting, k)
-			n.send(k, Message{Kind: Mark, ID: id, Op: c.op, Holder: n.self, Epoch: c.rec.Epoch, Ask: c.ask, Terms: c.rec.Terms, Keepers: c.rec.Keepers,
-				Left: max(0, c.deadline-now)})
-		}
-	}
+	c.phase = marking
+	others := drop(c.rec.Keepers, c.to)
+	n.ask(now, &c.question, others, Message{Kind: Mark, ID: id, Holder: n.self, Epoch: c.rec.Epoch, Ask: c.ask, Terms: c.rec.Terms, Keepers: c.rec.Keepers,
+		Left: max(0, c.deadline-now)})
 	if c.rec.Terms.Beside {
 		n.take(now, id, c)
 		return
--- a/internal/takeover/keeper.go
+++ b/internal/takeover/keeper.go
@@ -105,9 +105,10 @@
 	case !n.mayGive(r, m.Chain):
 		no(NoProof)
 	default:
-		r.op = &decision{m: m, from: from, since: now}
+		r.op = &decision{m: m, from: from, since: now, again: now}
 		if m.Kind == Claim {
-			n.send(r.holder, Message{Kind: Release, ID: m.ID, Op: m.Op, Epoch: r.epoch})
+			r.op.said = Message{Kind: Release, ID: m.ID, Op: m.Op, Epoch: r.epoch}
+			n.send(r.holder, r.op.said)
 			if !n.isDead(r.holder) {
 				n.probe(r.holder)
 			}
@@ -155,14 +156,19 @@
 			n.settle(now, id, r, None)
 		case late: // who stands behind may give it away again: it does not go out
 			n.settle(now, id, r, NoProof)
-		case now-d.since >= n.s.Silence/4 && !d.probing:
-			d.probing = true
+		case n.again(now, &d.again):
 			for _, m := range waiting {
-				n.probe(m)
+				if n.send(m, d.said); !d.probing {
+					n.probe(m)
+				}
 			}
+			d.probing = true
 		}
 		return
 	}
+	if n.again(now, &d.again) && !n.isDead(r.holder) {
+		n.send(r.holder, d.said)
+	}
 	ended := n.isDead(r.holder)
 	switch {
 	case ended && !r.terms.Repeat:
@@ -181,9 +187,10 @@
 func (n *Node) give(now Micros, id string, r *record) {
 	d := r.op
 	r.given = true
-	d.since, d.probing, d.marking = now, false, []Member{}
+	d.since, d.again, d.probing, d.marking = now, now, false, []Member{}
 	note := n.next(r)
 	note.ID = id
+	d.said = note
 	for _, m := range n.chain(r.keepers, d.m.Chain) {
 		if m != n.self && !n.isDead(m) {
 			d.marking = append(d.marking, m)
--- a/internal/takeover/node.go
+++ b/internal/takeover/node.go
@@ -54,6 +54,8 @@
 	since   Micros
 	probing bool
 	marking []Member // whose note is awaited
+	said    Message  // to them, or to the holder
+	again   Micros
 }
 
 // hold is a request that this gateway holds.
@@ -74,6 +76,8 @@
 // question is one put to others.
 type question struct {
 	op      uint32
+	said    Message // for those that do not answer: it may have been lost
+	again   Micros  // when it was last said
 	chain   int
 	to      Member
 	since   Micros
@@ -175,6 +179,46 @@
 	return ok && life >= m.Life
 }
 
+// ask puts a question to some; repeat says it again to those that have not answered.
+func (n *Node) ask(now Micros, q *question, to []Member, m Message) {
+	q.since, q.again, q.probed, q.waiting = now, now, false, nil
+	for _, k := range to {
+		if !n.isDead(k) {
+			q.waiting = append(q.waiting, k)
+		}
+	}
+	n.op++
+	q.op, m.Op = n.op, n.op
+	q.said = m
+	for _, k := range q.waiting {
+		n.send(k, m)
+	}
+}
+
+// wait drops those from a question that are dead, and says it again to the others after a
+// part of the time that it has.
+func (n *Node) wait(now Micros, q *question) (late Micros) {
+	q.waiting = slices.DeleteFunc(q.waiting, n.isDead)
+	if n.again(now, &q.again) {
+		for _, k := range q.waiting {
+			if n.send(k, q.said); !q.probed {
+				n.probe(k)
+			}
+		}
+		q.probed = true
+	}
+	return now - q.since
+}
+
+// again tells whether something is to be said once more.
+func (n *Node) again(now Micros, last *Micros) bool {
+	if now-*last < n.s.Silence/4 {
+		return false
+	}
+	*last = now
+	return true
+}
+
 func (n *Node) probe(m Member) { n.out = append(n.out, Output{Do: Probe, To: m}) }
 
 // chain is the keepers that a permit belongs to, in order.
