--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,134 @@
+package drill_test
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/cli"
+	"archknot/internal/conf"
+	"archknot/internal/drill"
+	"archknot/internal/fleet/emulate"
+)
+
+// The gateways of a drill are processes of this very program.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		cli.Exec()
+	}
+	os.Exit(m.Run())
+}
+
+// Processes are killed, frozen, cut off and restarted: no rule breaks, none ends by
+// itself, and most of what was in hand at those that were lost is answered whole.
+func TestDrills(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts processes")
+	}
+	for _, c := range []struct {
+		plan, variant string
+		least         float64 // part of what was in hand that is answered whole and in time
+	}{
+		{"states", "strict", 0.7}, {"many", "beside", 0.7}, {"frozen", "strict", 0}, {"cut", "strict", 0}, {"cut", "beside", 0},
+		{"rolling", "strict", 0.8}, {"full", "strict", 0},
+	} {
+		t.Run(c.plan+"/"+c.variant, func(t *testing.T) {
+			t.Parallel()
+			r := run(t, "testdata/"+c.plan+".plan", c.variant)
+			for _, b := range r.Breaks {
+				t.Errorf("rule %s, request %s: %s", b.Rule, b.Root, b.What)
+			}
+			for _, text := range r.Crashes {
+				t.Error(text)
+			}
+			if r.Sent < 100 || r.Ends["served"] < r.Sent/2 {
+				t.Errorf("of %d requests: %v", r.Sent, r.Ends)
+			}
+			if r.Caught >= 5 && float64(r.Saved) < c.least*float64(r.Caught) {
+				t.Errorf("in hand at lost gateways: %d, answered whole: %d", r.Caught, r.Saved)
+			}
+		})
+	}
+}
+
+// Without the link what is begun at a lost gateway is lost: the drill sees it.
+func TestDrillSeesLoss(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts processes")
+	}
+	t.Parallel()
+	if r := run(t, "testdata/many.plan", "off"); r.Caught < 5 || r.Saved*2 > r.Caught {
+		t.Errorf("in hand at lost gateways: %d, answered whole: %d", r.Caught, r.Saved)
+	}
+}
+
+func run(t *testing.T, plan, variant string) *drill.Result {
+	t.Helper()
+	p, err := conf.LoadPlan(plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range p.Variants {
+		if v.Name == variant {
+			spec, err := p.Spec(v, p.Workloads[0], 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, stop := context.WithTimeout(t.Context(), time.Minute)
+			defer stop()
+			r, err := drill.Run(ctx, spec, drill.Options{Dir: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("sent=%d %v caught=%d saved=%d", r.Sent, r.Ends, r.Caught, r.Saved)
+			return r
+		}
+	}
+	t.Fatalf("%s has no variant %s", plan, variant)
+	return nil
+}
+
+// The auditor finds each planted break, and nothing where there is none.
+func TestAuditorFindsPlantedBreaks(t *testing.T) {
+	began := time.Now()
+	at := func(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
+	attempt := func(root string, from, to int, change func(*emulate.Attempt)) emulate.Attempt {
+		a := emulate.Attempt{Root: root, ID: root, Worker: "k-1", Class: "chat", From: at(from), To: at(to), Until: at(4000)}
+		if change != nil {
+			change(&a)
+		}
+		return a
+	}
+	class := &choice.Class{Name: "chat"}
+	try := func(id string, ask int, whole bool) emulate.Try {
+		return emulate.Try{Root: "a", ID: id, Ask: ask, Class: class, Patience: 4_000_000, FirstAt: 1, At: 100_000, Status: 200, Whole: whole}
+	}
+	rules := drill.Rules{Attempts: 3, Once: map[string]bool{"once": true}, Slack: 50 * time.Millisecond, Drains: map[string]time.Time{"k-9": at(1000)}}
+	once := func(a *emulate.Attempt) { a.Class = "once" }
+	for _, c := range []struct {
+		rule     string // "": none is broken
+		tries    []emulate.Try
+		attempts []emulate.Attempt
+	}{
+		{"", []emulate.Try{try("a", 0, false), try("b", 1, true)}, []emulate.Attempt{attempt("a", 0, 100, nil), attempt("a", 140, 300, nil)}},
+		{"attempts", nil, []emulate.Attempt{attempt("a", 0, 1, nil), attempt("a", 100, 101, nil), attempt("a", 200, 201, nil), attempt("a", 300, 301, nil)}},
+		{"at_once", nil, []emulate.Attempt{attempt("a", 0, 200, nil), attempt("a", 100, 300, nil)}},
+		{"once", nil, []emulate.Attempt{attempt("a", 0, 10, once), attempt("a", 100, 110, once)}},
+		{"", nil, []emulate.Attempt{attempt("a", 0, 10, func(a *emulate.Attempt) { a.Class, a.Declined = "once", true }), attempt("a", 100, 110, once)}},
+		{"deadline", nil, []emulate.Attempt{attempt("a", 4100, 4200, nil)}},
+		{"drain", nil, []emulate.Attempt{attempt("a", 1100, 1200, func(a *emulate.Attempt) { a.Worker = "k-9" })}},
+		{"answers", []emulate.Try{try("a", 0, true), try("b", 1, true)}, nil},
+		{"answers", []emulate.Try{try("a", 0, false), try("a", 0, false)}, nil},
+		{"late_answer", []emulate.Try{{Root: "a", ID: "a", Class: class, Patience: 1_000_000, At: 1_100_000, Status: 503}}, nil},
+	} {
+		got := drill.Audit(rules, c.tries, c.attempts)
+		switch {
+		case c.rule == "" && len(got) > 0:
+			t.Errorf("nothing was broken, and found was %v", got)
+		case c.rule != "" && (len(got) == 0 || got[0].Rule != c.rule):
+			t.Errorf("%s was broken, and found was %v", c.rule, got)
+		}
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -168,9 +168,11 @@
 		t.pass(now, t.members[name])
 	}
 	if now >= t.joinAt && len(t.seeds) > 0 {
-		to := t.seeds[t.random(len(t.seeds))]
-		if to != t.self.Addr {
-			t.send(now, to, Join, 0)
+		to := t.random(len(t.seeds))
+		for i, seed := range t.seeds { // all while nobody is known: one of them may be gone
+			if seed != t.self.Addr && (i == to || len(t.members) == 0 && i < 8) {
+				t.send(now, seed, Join, 0)
+			}
 		}
 		t.joins++
 		t.joinAt = now + joinEvery*int64(min(t.joins, 20))
--- a/internal/peers/held.go
+++ b/internal/peers/held.go
@@ -58,6 +58,9 @@
 	s.deaths(now)
 	h := s.enter(id, stop)
 	s.node.Hold(now, id, terms, left.Microseconds(), s.keepers(id, s.o.Copies))
+	if len(s.members) == 0 {
+		s.alone[id] = true
+	}
 	s.act(now)
 	return h
 }
@@ -159,6 +162,7 @@
 	defer s.mu.Unlock()
 	if s.held[h.id] == h {
 		delete(s.held, h.id)
+		delete(s.alone, h.id)
 	} else {
 		return // a later hold of the same request has the name
 	}
@@ -166,7 +170,7 @@
 	if h.Lost.Load() {
 		s.node.Stopped(now, h.id, ran)
 	} else {
-		s.node.Let(now, h.id)
+		s.node.Let(now, h.id, ran)
 	}
 	s.act(now)
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -53,6 +53,7 @@
 	node    *takeover.Node
 	table   *membership.Table
 	held    map[string]*Held
+	alone   map[string]bool // held requests that nobody was there to keep
 	claims  map[string]*claim
 	batches map[string]*batch // by name; words that can wait a little
 	flush   bool              // is on its way
@@ -106,7 +107,7 @@
 	}
 	began := time.Now()
 	s := &Service{o: o, self: takeover.Member{Name: o.Name, Life: uint64(began.UnixNano())}, udp: udp, tcp: tcp, began: began,
-		held: map[string]*Held{}, claims: map[string]*claim{}, batches: map[string]*batch{}, addrs: map[string]netip.AddrPort{},
+		held: map[string]*Held{}, alone: map[string]bool{}, claims: map[string]*claim{}, batches: map[string]*batch{}, addrs: map[string]netip.AddrPort{},
 		probing: map[string]bool{}, sites: map[string]string{}}
 	s.node = takeover.New(s.self, takeover.Settings{Permits: o.Permits, Silence: o.Silence.Microseconds(), Remember: o.Remember.Microseconds(),
 		Most: o.Records, MostEach: o.Each})
@@ -137,6 +138,12 @@
 			now := s.now()
 			s.table.Tick(now)
 			s.node.Tick(now)
+			for id := range s.alone {
+				if len(s.members) > 0 {
+					s.node.Keepers(now, id, s.keepers(id, s.o.Copies))
+					delete(s.alone, id)
+				}
+			}
 			s.act(now)
 			s.mu.Unlock()
 		}
--- a/internal/takeover/explore_test.go
+++ b/internal/takeover/explore_test.go
@@ -27,6 +27,7 @@
 	net      []flight
 	probes   [][2]Member // who asks, and about whom
 	stopping []stopping
+	granted  []stopping // taken over, and not yet sent
 	now      Micros
 	reqs     []*req
 	budget   budget
@@ -59,7 +60,7 @@
 	open, ran bool
 }
 
-type budget struct{ kills, starts, freezes, cuts, doubled, ticks, asks, wants int }
+type budget struct{ kills, starts, freezes, cuts, doubled, ticks, asks, wants, turned int }
 
 func newWorld(gateways int, terms []Terms, b budget, permits int) *world {
 	w := &world{life: make([]uint64, gateways), down: make([]bool, gateways), frozen: make([]bool, gateways), cut: map[[2]int]bool{}, budget: b}
@@ -151,7 +152,7 @@
 					w.fail("%s: ask %s answered twice", r, key)
 				}
 				if o.OK {
-					w.open(w.req(r), w.member(g))
+					w.granted = append(w.granted, stopping{g, r})
 				}
 			case Confirmed:
 				q := w.req(r)
@@ -222,6 +223,26 @@
 			}
 		})
 	}
+	for i, s := range w.granted {
+		if w.frozen[s.g] {
+			continue
+		}
+		h := w.nodes[s.g].holds[s.id]
+		gone := w.down[s.g] || h == nil || h.stopped
+		add("send "+s.id, func(w *world) {
+			if w.granted = slices.Delete(slices.Clone(w.granted), i, i+1); !gone {
+				w.open(w.req(s.id), w.member(s.g))
+			}
+		})
+		if !gone && w.budget.turned > 0 {
+			add("turn away "+s.id, func(w *world) {
+				w.budget.turned--
+				w.granted = slices.Delete(slices.Clone(w.granted), i, i+1)
+				w.nodes[s.g].Let(w.now, s.id, false)
+				w.collect(s.g)
+			})
+		}
+	}
 	for g := range w.nodes {
 		switch {
 		case w.down[g]:
@@ -335,6 +356,7 @@
 		delete(r.noted, g)
 	}
 	w.stopping = slices.DeleteFunc(slices.Clone(w.stopping), func(s stopping) bool { return s.g == g })
+	w.granted = slices.DeleteFunc(slices.Clone(w.granted), func(s stopping) bool { return s.g == g })
 }
 
 // wake has a gateway go on after a freeze: it checks what it holds first.
@@ -366,6 +388,7 @@
 	}
 	c.life, c.down, c.frozen, c.cut = slices.Clone(w.life), slices.Clone(w.down), slices.Clone(w.frozen), maps.Clone(w.cut)
 	c.net, c.probes, c.stopping = slices.Clone(w.net), slices.Clone(w.probes), slices.Clone(w.stopping)
+	c.granted = slices.Clone(w.granted)
 	c.reqs = make([]*req, len(w.reqs))
 	for i, r := range w.reqs {
 		q := *r
@@ -425,7 +448,7 @@
 		}
 	}
 	u := w.budget
-	for _, v := range []int{u.kills, u.starts, u.freezes, u.cuts, u.doubled, u.ticks, u.asks, u.wants} {
+	for _, v := range []int{u.kills, u.starts, u.freezes, u.cuts, u.doubled, u.ticks, u.asks, u.wants, u.turned} {
 		b.num(int64(v))
 	}
 	b.num(w.now)
@@ -436,6 +459,7 @@
 		b.message(&f.m)
 	})
 	b.sum(len(w.probes), func(b *writer, i int) { b.members(w.probes[i][:]) })
+	b.sum(len(w.granted), func(b *writer, i int) { b.num(int64(w.granted[i].g)); b.text(w.granted[i].id) })
 	b.sum(len(w.stopping), func(b *writer, i int) { b.num(int64(w.stopping[i].g)); b.text(w.stopping[i].id) })
 	for g, n := range w.nodes {
 		if w.down[g] {
@@ -462,6 +486,7 @@
 			if h := n.holds[r.id]; h != nil {
 				b.num(int64(h.epoch), int64(h.ask))
 				b.yes(h.spent...)
+				b.member(h.giver)
 				b.yes(h.stopped)
 				b.question(h.want)
 				b.question(h.check)
@@ -654,6 +679,7 @@
 		{"cut and healed", []Terms{strict}, false, budget{cuts: 1, ticks: 1, asks: 1}},
 		{"doubled", []Terms{strict}, false, budget{kills: 1, asks: 1, doubled: 1}},
 		{"started again", []Terms{strict}, false, budget{kills: 1, starts: 1, asks: 1}},
+		{"turned away, and asked again", []Terms{strict}, false, budget{kills: 1, asks: 2, turned: 1}},
 		{"owner and keeper killed", []Terms{strict}, false, budget{kills: 2, asks: 1}},
 		{"asked at two at once", []Terms{strict}, false, budget{asks: 1}},
 		{"asked twice", []Terms{strict}, false, budget{kills: 1, asks: 2}},
@@ -699,7 +725,7 @@
 		few := rapid.IntRange(0, 3)
 		w := newWorld(rapid.IntRange(3, 6).Draw(t, "gateways"), terms, budget{kills: few.Draw(t, "kills"), starts: few.Draw(t, "starts"),
 			freezes: few.Draw(t, "freezes"), cuts: few.Draw(t, "cuts"), doubled: few.Draw(t, "doubled"),
-			ticks: 12, asks: 6, wants: 4}, 2)
+			ticks: 12, asks: 6, wants: 4, turned: 2}, 2)
 		var way []string
 		for range 120 {
 			list := w.steps()
--- a/internal/takeover/holder.go
+++ b/internal/takeover/holder.go
@@ -25,15 +25,24 @@
 	}
 }
 
-// Let ends a hold: the request is answered and nothing of it runs here.
-func (n *Node) Let(now Micros, id string) {
+// Let ends a hold: the request is answered and nothing of it runs here. ran tells
+// whether an attempt may have run.
+func (n *Node) Let(now Micros, id string, ran bool) {
 	h := n.holds[id]
 	if h == nil {
 		return
 	}
-	delete(n.holds, id)
-	for _, q := range h.release {
-		n.send(q.to, Message{Kind: Released, ID: id, Op: q.op, OK: true, Ran: true})
+	if !ran && h.giver.Name != "" {
+		n.send(h.giver, Message{Kind: Return, ID: id, Holder: n.self, Epoch: h.epoch, Chain: h.chain})
+	}
+	n.Stopped(now, id, ran)
+}
+
+// Keepers gives a hold keepers that it began without: this gateway knew of no other.
+func (n *Node) Keepers(now Micros, id string, keepers []Member) {
+	if h := n.holds[id]; h != nil && h.epoch == 1 && len(h.keepers) == 0 && len(keepers) > 0 {
+		h.keepers = keepers
+		n.tell(now, id, h, true)
 	}
 }
 
@@ -257,6 +266,7 @@
 		}
 		switch {
 		case m.OK:
+			c.giver = from
 			n.register(now, m.ID, c)
 		case m.Reason == Spent || m.Reason == Unknown:
 			n.claimNext(now, m.ID, c)
@@ -289,7 +299,7 @@
 // take makes a claimed request this gateway's own.
 func (n *Node) take(now Micros, id string, c *claim) {
 	delete(n.claims, id)
-	h := &hold{epoch: c.rec.Epoch, ask: c.ask, terms: c.rec.Terms, deadline: c.deadline, keepers: c.rec.Keepers, told: now, spent: make([]bool, n.s.Permits)}
+	h := &hold{giver: c.giver, chain: c.chain, epoch: c.rec.Epoch, ask: c.ask, terms: c.rec.Terms, deadline: c.deadline, keepers: c.rec.Keepers, told: now, spent: make([]bool, n.s.Permits)}
 	for i := range c.chain + 1 {
 		h.spent[i] = true
 	}
--- a/internal/takeover/keeper.go
+++ b/internal/takeover/keeper.go
@@ -252,6 +252,14 @@
 	n.answered(now, from, m)
 }
 
+// returned takes back a permit that was granted and not used: the module that it was
+// for turned the request away. Those behind in the chain go on taking it for given.
+func (n *Node) returned(_ Micros, from Member, m Message) {
+	if r := n.records[m.ID]; r != nil && r.op == nil && r.holder == from && r.epoch == m.Epoch && n.mayGive(r, m.Chain) {
+		r.given = false
+	}
+}
+
 // checked tells a holder whether a request is still its own.
 func (n *Node) checked(_ Micros, from Member, m Message) {
 	ok := true
--- a/internal/takeover/message.go
+++ b/internal/takeover/message.go
@@ -49,6 +49,7 @@
 	Marked                   // the answer, not OK where another has it
 	Check                    // holder to keeper: is it still mine?
 	Still                    // the answer
+	Return                   // holder to keeper: what was granted was not used
 )
 
 // Reason says why an answer is no.
--- a/internal/takeover/node.go
+++ b/internal/takeover/node.go
@@ -67,6 +67,8 @@
 	keepers  []Member
 	told     Micros
 	spent    []bool // chains that have nothing to give any more
+	giver    Member // of the first permit of a hold that was taken over
+	chain    int    // the giver's
 	want     *question
 	check    *question
 	release  []question // who waits for it to stop
@@ -93,6 +95,7 @@
 	phase    phase
 	found    bool
 	rec      Message // the newest that was told of it
+	giver    Member
 	dead     int
 	deadline Micros
 }
@@ -357,6 +360,8 @@
 		n.released(now, from, m)
 	case Mark:
 		n.mark(now, from, m)
+	case Return:
+		n.returned(now, from, m)
 	case Check:
 		n.checked(now, from, m)
 	case Release:
