--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -33,7 +33,7 @@
 	Asked    float64            `json:"worth_asked"`
 	Caught   int                `json:"caught"`         // in hand for over 50 ms at a gateway that was killed or ended, of classes that may run again
 	Saved    int                `json:"saved"`          // of those, answered whole and in time
-	LostIn   float64            `json:"worth_lost_10s"` // in the 10 s after the first strike
+	LostIn   float64            `json:"worth_lost_10s"` // of what was in hand at the first strike or came within 10 s of it
 	FirstMs  map[string]float64 `json:"first_ms"`
 	CPUMs    float64            `json:"cpu_ms_request"` // of the gateways' processes that ran to the end
 	MemoryMB float64            `json:"memory_mb"`      // the most resident memory of one of them at the end
@@ -436,7 +436,8 @@
 		}
 		res.Asked += k.Worth
 		res.Worth += worth
-		if since := r.first.Born - s.first.Sub(s.began).Microseconds(); !s.first.IsZero() && since > -1_000_000 && since < 10_000_000 {
+		struck := s.first.Sub(s.began).Microseconds()
+		if !s.first.IsZero() && r.last.At >= struck && r.first.Born < struck+10_000_000 {
 			res.LostIn += k.Worth - worth
 		}
 		for _, at := range s.ended[r.first.Gateway] {
