--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -95,13 +95,17 @@
 	return c, nil
 }
 
-// dealt are the addresses that drills of this process were given.
+// dealt are the addresses that drills of this process have looked at.
 var dealt sync.Map
 
 // free finds a port that nothing uses, below those that the system deals out itself.
 func (c *cluster) free() (string, error) {
 	for range 200 {
 		addr := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
+		// Looked at only by one drill of this process: a look takes the port for a moment.
+		if _, taken := dealt.LoadOrStore(addr, true); taken {
+			continue
+		}
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -112,9 +116,6 @@
 			continue
 		}
 		u.Close()
-		if _, taken := dealt.LoadOrStore(addr, true); taken {
-			continue // by another drill of this process, which has not used it yet
-		}
 		return addr, nil
 	}
 	return "", errors.New("no free port found")
--- a/internal/drill/relay.go
+++ b/internal/drill/relay.go
@@ -84,9 +84,15 @@
 	if r.tcp != nil {
 		return nil
 	}
-	l, err := net.Listen("tcp", r.addr)
-	if err != nil {
-		return err
+	var l net.Listener
+	var err error
+	// A connection that is just being closed may have the port for a moment.
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if l, err = net.Listen("tcp", r.addr); err == nil {
+			break
+		} else if time.Now().After(end) {
+			return err
+		}
 	}
 	r.tcp = l
 	go func() {
--- /dev/null
+++ b/internal/gateway/takeover_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"hash/crc32"
+	"testing"
+
+	"archknot/internal/wire/socket"
+)
+
+// What the client has is passed over, however the events are cut up, and an answer that
+// begins otherwise is not joined to it.
+func TestRestIsJoinedByteForByte(t *testing.T) {
+	answer := event1 + event2
+	for had := range len(answer) + 1 {
+		for _, size := range []int{1, 7, len(answer)} {
+			h := &hand{rest: socket.Rest{Bytes: int64(had), Sum: crc32.ChecksumIEEE([]byte(answer[:had]))}, sum: crc32.NewIEEE()}
+			joined := answer[:had]
+			for i := 0; i < len(answer); i += size {
+				fresh, ok := h.fresh([]byte(answer[i:min(i+size, len(answer))]))
+				if !ok {
+					t.Fatalf("had %d: not its answer", had)
+				}
+				joined += string(fresh)
+			}
+			if joined != answer || !h.whole() {
+				t.Fatalf("had %d in pieces of %d: %q", had, size, joined)
+			}
+		}
+	}
+	h := &hand{rest: socket.Rest{Bytes: 5, Sum: crc32.ChecksumIEEE([]byte("other"))}, sum: crc32.NewIEEE()}
+	if _, ok := h.fresh([]byte(answer)); ok {
+		t.Error("another answer was joined")
+	}
+	h = &hand{rest: socket.Rest{Bytes: int64(len(answer) + 1)}, sum: crc32.NewIEEE()}
+	if h.fresh([]byte(answer)); h.whole() {
+		t.Error("a shorter answer counts as whole")
+	}
+}
