A process that is dying is dialled again: the first dial may still be taken

Seen: two of 324 requests in hand at a kill met no_proof, both claimed within a millisecond of it. Clients see the reset before the port closes, so the one dial was answered by the dying process and nothing asked again within the 0.15 s. decide and wait (internal/takeover) dial with each repeated question now. Ruled out: a frozen keeper (no 'frozen' line), a later life of the keeper (told by gossip).

--- a/internal/drill/relay.go
+++ b/internal/drill/relay.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	udp, err := soon(func() (*net.UDPConn, error) { return net.ListenUDP("udp", net.UDPAddrFromAddrPort(at)) })
 	if err != nil {
 		return nil, err
 	}
@@ -77,6 +77,16 @@
 	}
 }
 
+// soon tries for a moment to listen: a process that is just being started by another
+// drill has copies of all sockets of this one until it runs its own program.
+func soon[T any](listen func() (T, error)) (got T, err error) {
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if got, err = listen(); err == nil || time.Now().After(end) {
+			return got, err
+		}
+	}
+}
+
 // up has the relay take dials, as the gateway's port does while its process lives.
 func (r *relay) up() error {
 	r.mu.Lock()
@@ -84,15 +94,9 @@
 	if r.tcp != nil {
 		return nil
 	}
-	var l net.Listener
-	var err error
-	// A connection that is just being closed may have the port for a moment.
-	for end := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		if l, err = net.Listen("tcp", r.addr); err == nil {
-			break
-		} else if time.Now().After(end) {
-			return err
-		}
+	l, err := soon(func() (net.Listener, error) { return net.Listen("tcp", r.addr) })
+	if err != nil {
+		return err
 	}
 	r.tcp = l
 	go func() {
--- a/internal/takeover/explore_test.go
+++ b/internal/takeover/explore_test.go
@@ -478,7 +478,7 @@
 					b.message(&d.m)
 					b.member(d.from)
 					b.num(d.since, d.again)
-					b.yes(d.probing, d.marking != nil)
+					b.yes(d.marking != nil)
 					b.members(d.marking)
 				}
 			}
@@ -565,7 +565,6 @@
 	}
 	b.num(int64(q.op), int64(q.chain), q.since, q.again)
 	b.member(q.to)
-	b.yes(q.probed)
 	b.members(q.waiting)
 }
 
--- a/internal/takeover/keeper.go
+++ b/internal/takeover/keeper.go
@@ -159,16 +159,15 @@
 			n.settle(now, id, r, NoProof)
 		case n.again(now, &d.again):
 			for _, m := range waiting {
-				if n.send(m, d.said); !d.probing {
-					n.probe(m)
-				}
+				n.send(m, d.said)
+				n.probe(m)
 			}
-			d.probing = true
 		}
 		return
 	}
 	if n.again(now, &d.again) && !n.isDead(r.holder) {
 		n.send(r.holder, d.said)
+		n.probe(r.holder) // again: a process that dies closes its port last of all
 	}
 	ended := n.isDead(r.holder)
 	switch {
@@ -188,7 +187,7 @@
 func (n *Node) give(now Micros, id string, r *record) {
 	d := r.op
 	r.given = true
-	d.since, d.again, d.probing, d.marking = now, now, false, []Member{}
+	d.since, d.again, d.marking = now, now, []Member{}
 	note := n.next(r)
 	note.ID = id
 	d.said = note
--- a/internal/takeover/node.go
+++ b/internal/takeover/node.go
@@ -55,7 +55,6 @@
 	m       Message // that asked
 	from    Member
 	since   Micros
-	probing bool
 	marking []Member // whose note is awaited
 	said    Message  // to them, or to the holder
 	again   Micros
@@ -86,7 +85,6 @@
 	chain   int
 	to      Member
 	since   Micros
-	probed  bool
 	waiting []Member
 }
 
@@ -187,7 +185,7 @@
 
 // ask puts a question to some; repeat says it again to those that have not answered.
 func (n *Node) ask(now Micros, q *question, to []Member, m Message) {
-	q.since, q.again, q.probed, q.waiting = now, now, false, nil
+	q.since, q.again, q.waiting = now, now, nil
 	for _, k := range to {
 		if !n.isDead(k) {
 			q.waiting = append(q.waiting, k)
@@ -207,11 +205,9 @@
 	q.waiting = slices.DeleteFunc(q.waiting, n.isDead)
 	if n.again(now, &q.again) {
 		for _, k := range q.waiting {
-			if n.send(k, q.said); !q.probed {
-				n.probe(k)
-			}
+			n.send(k, q.said)
+			n.probe(k)
 		}
-		q.probed = true
 	}
 	return now - q.since
 }
