The emulator's clients share no default that is set late: a race, found by the race detector

send set the watcher's missing function itself, from many tasks at once. The caller gives both. Seen: go test -race ./internal/fleet/emulate failed before and passes.

--- a/internal/fleet/emulate/clients.go
+++ b/internal/fleet/emulate/clients.go
@@ -20,10 +20,11 @@
 // Play sends a specification's traffic to gateways for its time, with its faults at
 // the fleet, and tells how it ended. The gateways' addresses are on loopback.
 func Play(ctx context.Context, f *Fleet, spec *model.Spec, gateways []string) (res *model.Result, leftOut int, err error) {
-	return PlayWatched(ctx, f, spec, gateways, Watch{})
+	return PlayWatched(ctx, f, spec, gateways, Watch{State: func(*Try, string) {}, Ended: func(*Try) {}})
 }
 
-// PlayWatched is Play with somebody who is told of each try as it goes.
+// PlayWatched is Play with somebody who is told of each try as it goes, by both of its
+// functions.
 func PlayWatched(ctx context.Context, f *Fleet, spec *model.Spec, gateways []string, watch Watch) (res *model.Result, leftOut int, err error) {
 	for _, g := range gateways {
 		host, _, err := net.SplitHostPort(g)
--- a/internal/fleet/emulate/tries.go
+++ b/internal/fleet/emulate/tries.go
@@ -72,9 +72,7 @@
 		fresh := t.Status == http.StatusNotFound && len(have) == 0 // nobody has heard of it
 		if again := fresh || t.Status == http.StatusServiceUnavailable; again && n < s.Rest && inTime {
 			// A new request, or the same ask once more where there was no room.
-			if p.watch.Ended != nil {
-				p.watch.Ended(t)
-			}
+			p.watch.Ended(t)
 			if fresh || ask == 0 {
 				root, ask = p.id(), -1
 			}
@@ -83,9 +81,7 @@
 		}
 		// No first token yet: it is waited for no longer than the first try would have.
 		t.Last = n >= s.Rest || t.How != "broken" && t.How != "failed" || !inTime
-		if p.watch.Ended != nil {
-			p.watch.Ended(t)
-		}
+		p.watch.Ended(t)
 		if t.Last {
 			return whole
 		}
@@ -147,9 +143,6 @@
 		}
 		return over("failed")
 	}
-	if p.watch.State == nil {
-		p.watch.State = func(*Try, string) {}
-	}
 	told := 0
 	buf := make([]byte, 16<<10)
 	for {
@@ -233,9 +226,7 @@
 			h.Set("Req-Retry", "again")
 			h.Set(socket.RestHeader, fmt.Sprintf("id=%s,ask=%d,bytes=%d,sum=%08x", t.Root, t.Ask, len(have), crc32.ChecksumIEEE(have)))
 		}
-		if p.watch.State != nil {
-			p.watch.State(t, "sent")
-		}
+		p.watch.State(t, "sent")
 		resp, err := p.client.Do(req)
 		if errors.Is(err, syscall.ECONNREFUSED) && n < 8 {
 			continue
