Read over: a plan's variant and workload are found in one place; fields that nobody read go

experiment one and drill run had the same eleven lines (loadPlan now). cluster.rng, watch.began and a join list that could not be empty were read by nothing.

--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -17,7 +17,6 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/term"
 
-	"archknot/internal/conf"
 	"archknot/internal/drill"
 	"archknot/internal/experiment"
 )
@@ -61,15 +60,7 @@
 }
 
 func (c *drillRunCmd) Run(s *streams) error {
-	p, err := conf.LoadPlan(c.Plan)
-	if err != nil {
-		return err
-	}
-	v, err := pickVariant(p.Variants, c.Variant)
-	if err != nil {
-		return err
-	}
-	w, err := pickVariant(p.Workloads, c.Workload)
+	p, v, w, err := loadPlan(c.Plan, c.Variant, c.Workload)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -194,15 +194,7 @@
 }
 
 func (c *oneCmd) Run(s *streams) error {
-	p, err := conf.LoadPlan(c.Plan)
-	if err != nil {
-		return err
-	}
-	v, err := pickVariant(p.Variants, c.Variant)
-	if err != nil {
-		return err
-	}
-	w, err := pickVariant(p.Workloads, c.Workload)
+	p, v, w, err := loadPlan(c.Plan, c.Variant, c.Workload)
 	if err != nil {
 		return err
 	}
@@ -219,6 +211,18 @@
 	return err
 }
 
+// loadPlan reads a plan, and which variant and workload of it are meant.
+func loadPlan(file, variant, workload string) (p *conf.Plan, v, w conf.Variant, err error) {
+	if p, err = conf.LoadPlan(file); err != nil {
+		return
+	}
+	if v, err = pickVariant(p.Variants, variant); err != nil {
+		return
+	}
+	w, err = pickVariant(p.Workloads, workload)
+	return
+}
+
 // pickVariant finds a variant, or a workload, by its name; "" is the first.
 func pickVariant(list []conf.Variant, name string) (conf.Variant, error) {
 	if name == "" {
--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -29,7 +29,6 @@
 	program  string
 	dir      string
 	registry string
-	rng      *rand.Rand
 	relays   *relays
 	nodes    []*node
 	orders   chan func() // processes are started by one thread: they end with it
@@ -53,7 +52,7 @@
 }
 
 func newCluster(spec *model.Spec, program, dir, registry string) (*cluster, error) {
-	c := &cluster{spec: spec, program: program, dir: dir, registry: registry, rng: rand.New(rand.NewPCG(spec.Seed, 5)), orders: make(chan func()),
+	c := &cluster{spec: spec, program: program, dir: dir, registry: registry, orders: make(chan func()),
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	go func() {
 		runtime.LockOSThread() // Pdeathsig comes when the thread ends
@@ -155,9 +154,6 @@
 		for _, o := range c.nodes[:min(3, len(c.nodes))] {
 			join = append(join, c.reach(o))
 		}
-		if n.n == 0 && len(join) == 0 {
-			join = []string{c.reach(n)}
-		}
 		own += "join " + strings.Join(join, ",") + "\n"
 	}
 	if err := os.WriteFile(c.path(n, "json"), config, 0o600); err != nil {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -49,7 +49,6 @@
 	tries    []emulate.Try
 	attempts []emulate.Attempt
 	strikes  map[string][]*armed
-	began    time.Time
 	c        *cluster
 	fire     func(x *model.Strike, serving int)
 }
@@ -126,7 +125,7 @@
 	defer stop()
 	before := c.usage()
 	s := &striker{c: c, spec: spec, rng: rand.New(rand.NewPCG(spec.Seed, 41)), began: time.Now()}
-	w.c, w.began = c, s.began
+	w.c = c
 	w.fire = func(x *model.Strike, serving int) { s.strike(ctx, x, serving) }
 	for i := range spec.Strikes {
 		x := &spec.Strikes[i]
