Sites by a book of their own: lost by many silent workers, tried by probes, back by a word

Cause, in the lines: choice/guard.go failed() counted connects only; ProbeEnded dropped TimedOut; inquire() (choice/table.go) went on after 60 ms with the best row, whether it had answered or not; firstRest() had a worker that failed once rest up to 15 s among 300 gateways, also for what was its site's failure.

Change: internal/site (no I/O, no clock): states well, doubted, lost, returning. A site is lost when four of its workers (all of a smaller site's, by four misses) did not answer and none of it has since; a first miss has two others asked at once; an answer from any ends the doubt. Lost: only trials, probes at 0.25 to 1 s, scattered. A return clears rests; a site that flaps needs more words, by a bound. At a loss what waits there for a first token gets its second copy at once where the class allows.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -254,6 +254,7 @@
 	}
 	a.opened = max(1, o.Elapsed)
 	b.release(a.row, a, false)
+	b.hear(now, a.row, Served, false)
 	b.learnFirst(now, a)
 	if !r.opened && !r.ended {
 		r.opened = true
@@ -326,6 +327,7 @@
 	switch token & (1<<timerBits - 1 | timerAsked) {
 	case timerAsked:
 		if len(r.attempts) == 0 {
+			b.silent(now, r)
 			b.dispatch(now, r)
 		}
 	case timerDeadline:
@@ -341,8 +343,7 @@
 // hedgeAfter is how long an attempt may go without a first token before a
 // second copy is considered; 0: never.
 func (b *Balancer) hedgeAfter(r *request, a *attempt) Micros {
-	c := b.cls(r)
-	if !r.terms.secondCopies || c.Effect != Safe || !c.Stream || len(r.attempts) >= r.terms.maxAttempts {
+	if !b.mayHedge(r) {
 		return 0
 	}
 	// Long past what is usual for so many tokens, and late enough in the aim
@@ -350,6 +351,12 @@
 	return max(int64(3*b.firstFit.at(a.unread)), b.aim(r)/2)
 }
 
+// mayHedge tells whether r's class and settings let a copy run beside an attempt.
+func (b *Balancer) mayHedge(r *request) bool {
+	c := b.cls(r)
+	return r.terms.secondCopies && c.Effect == Safe && c.Stream && len(r.attempts) < r.terms.maxAttempts
+}
+
 // hedge sends a second copy of r if the budget for them allows.
 func (b *Balancer) hedge(now Micros, r *request) {
 	if r.hedged || r.live != 1 {
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"math"
+
+	"archknot/internal/site"
 )
 
 const (
@@ -157,9 +159,7 @@
 	if now < w.coldUntil {
 		w.coldSpent += charge
 	}
-	if b.zoneFails[w.zone] >= zoneSuspect {
-		b.zoneRest[w.zone] = now + zoneTrial
-	}
+	b.sites.Due(now, w.zone, 0.5) // where nothing else may, this request tries a lost site
 }
 
 // lastResort tells whether every replica that r may use is resting: then the
@@ -178,9 +178,12 @@
 	if w.state != MemberReady {
 		return false
 	}
-	if !last && (now < w.retryAt || now < b.zoneRest[w.zone] || w.fails > 0 && len(w.open) > 0) {
+	if !last && (now < w.retryAt || !b.siteOpen(now, w) || w.fails > 0 && len(w.open) > 0) {
 		return false
 	}
+	if !last && w.probing && b.sparse() && now-w.probed >= askWait/2 {
+		return false // it was asked, and says nothing
+	}
 	for _, a := range r.attempts {
 		if a.row == w && (!last || !a.ended) {
 			return false
@@ -192,14 +195,6 @@
 	return now >= w.coldUntil || b.coldAllows(now, w, readCost*float64(r.PromptTokens)+b.holdTokens(r))
 }
 
-// zoneSuspect is how many connects must fail in a row in one zone, with no
-// success there, before the whole zone is approached by one trial a zoneTrial:
-// else each of its replicas must fail on its own, a connect time-out each.
-const (
-	zoneSuspect        = 3
-	zoneTrial   Micros = 1_000_000
-)
-
 // guardFactor weighs a usable row's predicted load: a replica that errs wastes
 // attempts, one in another zone or without a connection costs a little.
 func (b *Balancer) guardFactor(now Micros, w *row, r *request) float64 {
@@ -219,7 +214,7 @@
 	if w.zone == r.avoidZone {
 		f *= 4
 	}
-	return f
+	return f * b.sitePrice(now, w)
 }
 
 // crossCost is what a crossing adds to r's score: a share of r's worth, lost once the
@@ -245,6 +240,7 @@
 func (b *Balancer) discharge(now Micros, a *attempt, o Outcome) {
 	w := a.row
 	b.release(w, a, true)
+	b.hear(now, w, o.Status, false)
 	w.usedAt = now
 	if o.Status == ConnectFailed || o.Status == ConnBroken {
 		w.conns = 0
@@ -267,30 +263,22 @@
 // answered clears what stood against w.
 func (b *Balancer) answered(w *row) {
 	w.fails, w.retryAt = 0, 0
-	b.zoneFails[w.zone], b.zoneRest[w.zone] = 0, 0
 }
 
 // failed notes a failure. Quick errors free memory and would top the scan: the
 // replica rests, longer each time, and comes back one attempt at a time.
 func (b *Balancer) failed(now Micros, w *row, s Status) {
+	if b.sites.Lost(w.zone) {
+		return // its site's failure, not its own
+	}
 	w.errors += 0.2 * (1 - w.errors)
 	w.fails++
-	rest := min(backoffMost, b.firstRest()<<min(w.fails-1, 5))
-	w.retryAt = now + int64(float64(rest)*(0.75+0.5*b.random()))
-	if s == ConnectFailed || s == ConnBroken {
-		if b.zoneFails[w.zone]++; b.zoneFails[w.zone] >= zoneSuspect {
-			b.zoneRest[w.zone] = now + zoneTrial
-		}
-	}
-}
-
-// firstRest is how long a replica rests after its first failure. One of many gateways
-// comes by seldom, and half a second later it would have forgotten.
-func (b *Balancer) firstRest() Micros {
+	many := 1.0
 	if b.sparse() {
-		return backoffFirst * Micros(b.s.Gateways) / sparseFrom
+		many = float64(b.s.Gateways) / sparseFrom
 	}
-	return backoffFirst
+	rests := site.Rests{First: backoffFirst, Most: backoffMost}
+	w.retryAt = now + rests.Rest(w.fails, s != Errored, many, b.random())
 }
 
 // mayRetry tells whether the budget allows a further attempt after s. What
@@ -455,6 +443,7 @@
 	}
 	b.refresh(now)
 	b.probe(now)
+	b.trySites(now)
 }
 
 // probe asks replicas for reports where those come no other way. The gateways
@@ -518,8 +507,9 @@
 	if b.sparse() {
 		defer b.resume(now)
 	}
+	b.hear(now, w, o.Status, true)
 	if o.Status != Served {
-		if o.Status == ConnectFailed || o.Status == Errored {
+		if o.Status == ConnectFailed || o.Status == Errored || o.Status == TimedOut && b.sparse() {
 			b.failed(now, w, o.Status)
 		}
 		return
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -9,6 +9,8 @@
 	"slices"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"archknot/internal/site"
 )
 
 // Snapshot is the whole state of b in protobuf's wire form: the message State
@@ -156,6 +158,14 @@
 	a.each(tag, len(*v), func(n int) { *v = make([]float64, n) }, func(i int, a *archive) { a.float(1, &(*v)[i]) })
 }
 
+func (a *archive) uints(tag protowire.Number, v *[]uint64) {
+	a.each(tag, len(*v), func(n int) {
+		if *v = nil; n > 0 {
+			*v = make([]uint64, n)
+		}
+	}, func(i int, a *archive) { a.uint(1, &(*v)[i]) })
+}
+
 func (a *archive) string(tag protowire.Number, v *string) {
 	if a.saving {
 		if *v != "" {
@@ -327,13 +337,26 @@
 	})
 	a.floats(22, &g.usage)
 	a.floats(23, &g.usedNow)
-	sorted(a, 24, &g.zoneFails, func(k, v *int, s *archive) {
-		whole(s, 1, k)
-		whole(s, 2, v)
-	})
-	sorted(a, 25, &g.zoneRest, func(k *int, v *Micros, s *archive) {
+	if !a.saving { // builds before 1.3 knew zones by failed connects in a row
+		a.take(24)
+		a.take(25)
+	}
+	sorted(a, 26, &g.sites.Places, func(k *int, v **site.Place, s *archive) {
+		if !s.saving {
+			*v = &site.Place{}
+		}
+		p := *v
 		whole(s, 1, k)
-		whole(s, 2, v)
+		whole(s, 2, &p.State)
+		whole(s, 3, &p.Since)
+		s.uints(4, &p.Missed)
+		whole(s, 5, &p.MissAt)
+		s.uints(6, &p.Heard)
+		whole(s, 7, &p.TrialAt)
+		whole(s, 8, &p.Trials)
+		whole(s, 9, &p.Losses)
+		whole(s, 10, &p.LostAt)
+		whole(s, 11, &p.Misses)
 	})
 	if !a.saving && (len(g.usage) != len(b.s.Tenants) || len(g.usedNow) != len(b.s.Tenants)) {
 		a.fail(fmt.Errorf("%d tenants, the settings have %d", len(g.usage), len(b.s.Tenants)))
--- a/choice/state.go
+++ b/choice/state.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"archknot/internal/site"
 )
 
 // What a Balancer remembers. No decision stands here.
@@ -170,8 +172,7 @@
 	worthPerToken   float64
 	usage           []float64 // requests a second, by tenant
 	usedNow         []float64
-	zoneFails       map[int]int
-	zoneRest        map[int]Micros
+	sites           site.Book
 }
 
 // check tells why the settings cannot be served.
@@ -235,7 +236,7 @@
 func (b *Balancer) initGuard() {
 	b.usage = make([]float64, len(b.s.Tenants))
 	b.usedNow = make([]float64, len(b.s.Tenants))
-	b.zoneFails, b.zoneRest, b.paceFloor = map[int]int{}, map[int]Micros{}, map[int]float64{}
+	b.sites, b.paceFloor = site.New(), map[int]float64{}
 	b.hedges, b.retries = 1, budgetCap
 }
 
