archknot site plan and site drill: the loss of a site forecast on the model, tried with processes

Nothing in the tests lost a whole site.

Drills tell classes and the share of attempts sent to machines that had vanished over 1.5 s before. choice/sites.go: where nothing can be asked, a first token past its aim counts as a miss of its site. A client of the model whose gateway is dead goes to another.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -337,6 +337,7 @@
 	case timerAim:
 		r.late = true
 		b.noteLate(1)
+		b.overdue(now, r)
 	}
 }
 
--- a/choice/sites.go
+++ b/choice/sites.go
@@ -106,6 +106,19 @@
 	}
 }
 
+// overdue takes a first token that has not come in its time for a miss where nothing can be
+// asked: jams are told from losses by the answers that others of the site still give.
+func (b *Balancer) overdue(now Micros, r *request) {
+	if b.s.MayProbe {
+		return
+	}
+	for _, a := range r.attempts {
+		if !a.ended && a.opened == 0 {
+			b.missed(now, a.row)
+		}
+	}
+}
+
 // siteOpen tells whether the zone of w takes ordinary requests.
 func (b *Balancer) siteOpen(now Micros, w *row) bool {
 	if !b.sites.Lost(w.zone) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,6 +29,7 @@
 	Contracts  contractsCmd  `cmd:"" help:"Look at teams' contracts, and try them on captures."`
 	Replay     replayCmd     `cmd:"" help:"Run captures through this build's module and compare its decisions."`
 	Experiment experimentCmd `cmd:"" help:"Compare settings or builds on a model of a fleet."`
+	Site       siteCmd       `cmd:"" help:"The loss of a whole site: forecast, and drilled with processes."`
 	Drill      drillCmd      `cmd:"" help:"Strike many gateways before an emulated fleet, and check the rules."`
 	Fleet      fleetCmd      `cmd:"" help:"Run a fleet to try gateways with."`
 	Version    versionCmd    `cmd:"" help:"Tell which build this is."`
--- /dev/null
+++ b/internal/cli/site.go
@@ -0,0 +1,269 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/renameio/v2"
+	"github.com/schollz/progressbar/v3"
+	"github.com/wcharczuk/go-chart/v2"
+	"golang.org/x/term"
+
+	"archknot/internal/drill"
+	"archknot/internal/experiment"
+	"archknot/internal/fleet/model"
+	"archknot/internal/site/forecast"
+)
+
+type siteCmd struct {
+	Plan  sitePlanCmd  `cmd:"" help:"Tell beforehand what the loss of a site would come to, from a plan's fleet and traffic."`
+	Drill siteDrillCmd `cmd:"" help:"Lose a site of a plan's fleet with processes, and tell what was seen beside what was forecast."`
+}
+
+// lossFlags are what both commands ask for.
+type lossFlags struct {
+	File     string        `arg:"" name:"plan" help:"The plan: see deploy/site-loss.plan."`
+	Lose     string        `required:"" placeholder:"SITE" help:"The site: a zone of the plan's workers."`
+	At       time.Duration `default:"4s" help:"When, from the run's start."`
+	For      time.Duration `default:"5s" help:"How long it is away."`
+	Told     time.Duration `default:"6s" help:"How long the registry goes on listing it as ready; longer than it is away: to its return."`
+	Watch    time.Duration `default:"15s" help:"Requests that come for so long from the loss on are counted."`
+	Variant  string        `help:"Which of the plan's, if not the first."`
+	Workload string        `help:"Which, if not the first."`
+	Seed     uint64        `default:"1" help:"The first seed."`
+	Played   int           `default:"10" help:"Runs of the model, each with the next seed, with the loss and without."`
+	JSON     bool          `name:"json" help:"Print JSON."`
+}
+
+func (c *lossFlags) loss() (l forecast.Loss, err error) {
+	if c.At < time.Second || c.For <= 0 || c.Watch < time.Second || c.Told < 0 || c.At+c.Watch > time.Hour || c.Played < 2 || c.Played > 1000 {
+		return l, errors.New("--at, --watch: expected 1s or more, an hour at most in all; --for: above 0; --played: 2 to 1000")
+	}
+	return forecast.Loss{Site: c.Lose, At: c.At.Microseconds(), For: c.For.Microseconds(), Told: c.Told.Microseconds(), Watch: c.Watch.Microseconds()}, nil
+}
+
+// make plays the model.
+func (c *lossFlags) make(ctx context.Context, s *streams) (*forecast.Forecast, func(uint64) (*model.Spec, error), error) {
+	l, err := c.loss()
+	if err != nil {
+		return nil, nil, err
+	}
+	p, v, w, err := loadPlan(c.File, c.Variant, c.Workload)
+	if err != nil {
+		return nil, nil, err
+	}
+	spec := func(seed uint64) (*model.Spec, error) { return p.Spec(v, w, seed) }
+	o := forecast.Options{Seeds: c.Played, First: c.Seed}
+	if bar := countBar(s, 2*c.Played); bar != nil {
+		o.Done = func() { _ = bar.Add(1) }
+	}
+	f, err := forecast.Make(ctx, spec, l, o)
+	return f, spec, err
+}
+
+func countBar(s *streams, n int) *progressbar.ProgressBar {
+	if f, ok := s.err.(*os.File); ok && term.IsTerminal(int(f.Fd())) {
+		return progressbar.NewOptions(n, progressbar.OptionSetWriter(f), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
+	}
+	return nil
+}
+
+type sitePlanCmd struct {
+	lossFlags
+	Chart string `placeholder:"FILE" help:"Write a chart of the seconds after the loss there, as SVG."`
+}
+
+func (sitePlanCmd) Help() string {
+	return "The model runs the code that serves. Told are: what each site bears before and after; the classes in the order in which they are refused,\n" +
+		"the least worth for a second of a worker's time first; what of each is served; how long the return takes; how many more workers elsewhere\n" +
+		"would keep all. Ranges are where one such day lies with 19 in 20.\n\n" +
+		"Example:\n  archknot site plan deploy/site-loss.plan --lose south --chart loss.svg"
+}
+
+func (c *sitePlanCmd) Run(s *streams) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	f, _, err := c.make(ctx, s)
+	if err != nil {
+		return err
+	}
+	if c.Chart != "" {
+		if err := writeChart(c.Chart, f); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return json.NewEncoder(s.out).Encode(f)
+	}
+	return printForecast(s.out, f)
+}
+
+func printForecast(out io.Writer, f *forecast.Forecast) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "site\tworkers\tload before\tload after\n")
+	for _, x := range f.Sites {
+		after := "lost"
+		if x.Name != f.Lost.Site {
+			after = fmt.Sprintf("%.2f", x.After)
+		}
+		fmt.Fprintf(t, "%s\t%d\t%.2f\t%s\n", x.Name, x.Workers, x.Before, after)
+	}
+	fmt.Fprintf(t, "\nrefused first to last\trequests/s\twork ms\tworth/s of work\tserved, calm\tserved, loss\trefused\tlate\n")
+	for _, x := range f.Order {
+		fmt.Fprintf(t, "%s\t%.1f\t%.0f\t%.1f\t%.3f\t%s\t%s\t%.3f\n", x.Name, x.PerS, x.Work, x.PerWork, x.Calm, x.Served, x.Refused, x.Late)
+	}
+	back, spare := fmt.Sprintf("%.0f s", f.Back), fmt.Sprintf("%.2f times", f.Spare)
+	if f.Back < 0 {
+		back = "longer than was watched"
+	}
+	switch f.Spare {
+	case 0:
+		spare = "over 3 times"
+	case 1:
+		spare = "none: what there is keeps all"
+	}
+	fmt.Fprintf(t, "\nworth served with the loss\t%s\nwithout\t%s\nan oracle's bound, of a fluid\t%.3f\nas without the loss, after the return\t%s\nworkers elsewhere that would keep all\t%s\n", f.Served, f.Calm, f.Fluid, back, spare)
+	return t.Flush()
+}
+
+// writeChart draws the seconds from the loss on.
+func writeChart(path string, f *forecast.Forecast) error {
+	g := chart.Chart{Width: 820, Height: 300, Background: chart.Style{Padding: chart.Box{Top: 30, Left: 10, Right: 10, Bottom: 10}},
+		XAxis: chart.XAxis{Name: "seconds from the loss"}, YAxis: chart.YAxis{Name: "worth served", Range: &chart.ContinuousRange{Min: 0, Max: 1.02}}}
+	for i, name := range []string{"with the loss", "without", "back"} {
+		line := chart.ContinuousSeries{Name: name, Style: chart.Style{StrokeColor: chart.GetDefaultColor(i), StrokeWidth: 2}}
+		if name == "back" {
+			at := float64(f.Lost.For) / 1e6
+			line.XValues, line.YValues = []float64{at, at}, []float64{0, 1}
+		} else {
+			for _, x := range f.Seconds {
+				v := x.Loss.Mean
+				if i == 1 {
+					v = x.Calm.Mean
+				}
+				line.XValues, line.YValues = append(line.XValues, x.At), append(line.YValues, v)
+			}
+		}
+		g.Series = append(g.Series, line)
+	}
+	g.Elements = []chart.Renderable{chart.LegendThin(&g)}
+	file, err := renameio.NewPendingFile(path)
+	if err != nil {
+		return err
+	}
+	defer file.Cleanup()
+	if err := g.Render(chart.SVG, file); err != nil {
+		return err
+	}
+	return file.CloseAtomicallyReplace()
+}
+
+type siteDrillCmd struct {
+	lossFlags
+	Program string `placeholder:"FILE" help:"Another build that is started in the place of this one."`
+	Seeds   int    `default:"1" help:"How many drills, each with the next seed."`
+	Logs    string `placeholder:"DIR" help:"Where configurations and logs are left; without it they are removed."`
+}
+
+func (siteDrillCmd) Help() string {
+	return "Gateways are processes, workers are emulated; the site's workers fall silent and come back cold, its gateways are killed and started again.\n" +
+		"Exit code 1: a rule was broken, a process ended by itself, or more than a fifth of the drills lie outside the forecast.\n\n" +
+		"Example:\n  archknot site drill deploy/site-loss.plan --lose south --seeds 3"
+}
+
+// siteDrilled is one drill beside the forecast.
+type siteDrilled struct {
+	Seed     uint64             `json:"seed"`
+	Served   float64            `json:"worth_served"`
+	Within   bool               `json:"within"`
+	Classes  map[string]float64 `json:"classes"`              // worth served, as a share
+	ToLost   float64            `json:"to_lost_after_1500ms"` // share of attempts sent to the lost site then
+	Breaks   int                `json:"breaks"`
+	Crashes  int                `json:"crashes"`
+	Forecast *forecast.Range    `json:"forecast,omitempty"`
+}
+
+func (c *siteDrillCmd) Run(s *streams) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if c.Seeds < 1 || c.Seeds > 10_000 {
+		return errors.New("--seeds: expected 1 to 10000")
+	}
+	f, spec, err := c.make(ctx, s)
+	if err != nil {
+		return err
+	}
+	if !c.JSON {
+		if err := printForecast(s.out, f); err != nil {
+			return err
+		}
+	}
+	program := c.Program
+	if program == "" {
+		program = ""
+	}
+	outside, broken := 0, 0
+	var served, toLost []float64
+	for i := range c.Seeds {
+		one, err := spec(c.Seed + uint64(i))
+		if err != nil {
+			return err
+		}
+		if one, err = f.Lost.Spec(one); err != nil {
+			return err
+		}
+		o := drill.Options{Program: program}
+		if c.Logs != "" {
+			o.Dir = fmt.Sprintf("%s/%d", c.Logs, one.Seed)
+		}
+		r, err := drill.Run(ctx, one, o)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", one.Seed, err)
+		}
+		d := siteDrilled{Seed: one.Seed, Served: r.Worth / max(1e-9, r.Asked), Classes: map[string]float64{}, Breaks: len(r.Breaks), Crashes: len(r.Crashes), ToLost: r.ToLost}
+		d.Within, d.Forecast = f.Served.Within(d.Served), &f.Served
+		for name, k := range r.Classes {
+			d.Classes[name] = k.Worth / max(1e-9, k.Asked)
+		}
+		served, toLost = append(served, d.Served), append(toLost, d.ToLost)
+		if !d.Within {
+			outside++
+		}
+		broken += d.Breaks + d.Crashes
+		if c.JSON {
+			if err := json.NewEncoder(s.out).Encode(d); err != nil {
+				return err
+			}
+			continue
+		}
+		fmt.Fprintf(s.out, "seed=%d worth=%.3f within=%v to_lost=%.4f breaks=%d crashes=%d", d.Seed, d.Served, d.Within, d.ToLost, d.Breaks, d.Crashes)
+		for _, name := range slices.Sorted(maps.Keys(d.Classes)) {
+			fmt.Fprintf(s.out, " %s=%.3f", name, d.Classes[name])
+		}
+		fmt.Fprintln(s.out)
+		for _, b := range r.Breaks {
+			fmt.Fprintf(s.out, "  rule=%s request=%s %s\n", b.Rule, b.Root, b.What)
+		}
+		for _, text := range r.Crashes {
+			fmt.Fprintf(s.out, "  %s\n", text)
+		}
+	}
+	if !c.JSON {
+		fmt.Fprintf(s.out, "worth served %s; forecast %s; %d of %d within; attempts at the lost site later than 1.5 s: %s of all\n",
+			experiment.MeanInterval(served), f.Served, c.Seeds-outside, c.Seeds, experiment.MeanInterval(toLost))
+	}
+	if broken > 0 || 5*outside > c.Seeds {
+		return no
+	}
+	return nil
+}
--- a/internal/conf/plan.go
+++ b/internal/conf/plan.go
@@ -331,7 +331,8 @@
 		}
 		slices.Sort(kinds)
 		return []key{micros("at", &f.At, "0s", 0, 24*hour, "when it begins"), micros("for", &f.For, "0s", 0, 24*hour, "how long; 0s: to the end"),
-			choiceOf("kind", &f.Kind, kinds[0], "what goes wrong", kinds...), worker(&f.Worker), factor("factor", &f.Factor, "1", 0, 1e6, "see the kinds")}
+			choiceOf("kind", &f.Kind, kinds[0], "what goes wrong", kinds...), worker(&f.Worker), text("zone", &f.Zone, "", "of one zone alone"),
+			factor("factor", &f.Factor, "1", 0, 1e6, "see the kinds")}
 	case "drill":
 		d := &s.Drill
 		return []key{onOff("peers", &d.Peers, "on", "gateways go on with each other's work"), onOff("relays", &d.Relays, "on", "what they say to each other can be cut and slowed"),
--- a/internal/fleet/emulate/emulate.go
+++ b/internal/fleet/emulate/emulate.go
@@ -212,6 +212,14 @@
 	load := w.load()
 	w.mu.Unlock()
 	if silent {
+		if r.URL.Path == socket.JobPath && w.fleet.Worked != nil {
+			met := Attempt{ID: r.Header.Get("Req-Id"), Root: r.Header.Get("Req-Id"), Worker: w.Name, From: time.Now(), Declined: true}
+			if rest, asked, err := socket.ReadRest(r.Header); asked && err == nil {
+				met.Root = rest.ID
+			}
+			defer func() { met.To = time.Now(); w.fleet.Worked(met) }()
+			_, _ = io.Copy(io.Discard, http.MaxBytesReader(out, r.Body, socket.MaxBody)) // then an end of the connection is noticed
+		}
 		select { // half-open: it takes all and says nothing
 		case <-r.Context().Done():
 		case <-time.After(time.Minute):
@@ -304,6 +312,13 @@
 		case <-r.Context().Done():
 			return false
 		}
+		w.mu.Lock()
+		silent := w.silent
+		w.mu.Unlock()
+		if silent { // an answer in the midst falls silent too
+			<-r.Context().Done()
+			return false
+		}
 		if !begun {
 			begun = true
 			out.Header().Set("Content-Type", "text/event-stream")
@@ -413,13 +428,16 @@
 		return
 	}
 	for i, w := range f.Workers {
-		if x.Worker >= 0 && x.Worker != i {
+		if x.Worker >= 0 && x.Worker != i || x.Zone != "" && x.Zone != w.group.Zone {
 			continue
 		}
 		switch x.Kind {
 		case "kill":
 			f.killed(w, on)
 			continue
+		case "lose":
+			f.lost(w, on, time.Duration(x.Factor*float64(time.Second)))
+			continue
 		case "drain":
 			state := "ready"
 			if on {
@@ -449,6 +467,28 @@
 	}
 }
 
+// lost takes a worker's machine away without a word, or brings it back cold with what was
+// open to it reset. A connection is taken on still, for a loopback address cannot be
+// silent before that.
+func (f *Fleet) lost(w *Worker, on bool, told time.Duration) {
+	w.mu.Lock()
+	w.silent = on
+	w.mu.Unlock()
+	if !on {
+		w.stop()
+		f.killed(w, false)
+		return
+	}
+	time.AfterFunc(told, func() {
+		w.mu.Lock()
+		still := w.silent
+		w.mu.Unlock()
+		if still {
+			f.registry.change(func(l *socket.List) { l.Instances[w.place].Lifecycle = "gone" })
+		}
+	})
+}
+
 // killed ends a worker at once, or brings it back cold at the same address.
 func (f *Fleet) killed(w *Worker, on bool) {
 	i := w.place
--- a/internal/fleet/model/clients.go
+++ b/internal/fleet/model/clients.go
@@ -160,6 +160,12 @@
 	r.sentAt = now
 	r.deadline = now + t.s.PatienceOf(t.class)
 	g := t.x.gateways[t.from.rng.IntN(len(t.x.gateways))]
+	for range 8 { // a connection that is refused says at once that nobody is there
+		if !g.dead {
+			break
+		}
+		g = t.x.gateways[t.from.rng.IntN(len(t.x.gateways))]
+	}
 	t.x.e.After(t.x.way(g.zone, g.zone), func(now choice.Micros) { g.arrive(now, r) })
 }
 
