--- a/internal/drill/cluster.go
+++ b/internal/drill/cluster.go
@@ -48,6 +48,7 @@
 	exited   chan struct{}
 	expected bool // to end
 	frozen   bool
+	starting bool // again, and not ready yet: the front does not offer it
 	crashes  []string
 }
 
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -157,7 +157,7 @@
 		addrs = append(addrs, n.addr)
 	}
 	drains := drained(spec, s.began)
-	_, left, err := emulate.PlayWatched(ctx, f, spec, addrs, emulate.Watch{State: w.state, Ended: func(t *emulate.Try) {
+	_, left, err := emulate.PlayWatched(ctx, f, spec, addrs, emulate.Watch{State: w.state, Offered: c.offered, Ended: func(t *emulate.Try) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.tries = append(w.tries, *t)
@@ -332,7 +332,7 @@
 			fallthrough
 		case "kill":
 			if ctx.Err() == nil {
-				_ = s.c.start(n) // one that cannot start is seen as a crash
+				s.again(ctx, n)
 			}
 		case "freeze":
 			n.signal(syscall.SIGCONT)
@@ -340,6 +340,34 @@
 	}
 }
 
+// again starts a gateway once more, and has the front offer it when it is ready.
+func (s *striker) again(ctx context.Context, n *node) {
+	n.offer(false)
+	_ = s.c.start(n) // one that cannot start is seen as a crash
+	s.all.Go(func() {
+		defer n.offer(true)
+		_ = s.c.readyOne(ctx, n) // it ends with the drill at the latest
+	})
+}
+
+func (n *node) offer(on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.starting = !on
+}
+
+// offered tells whether the front offers a gateway.
+func (c *cluster) offered(addr string) bool {
+	for _, n := range c.nodes {
+		if n.addr == addr {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return !n.starting
+		}
+	}
+	return true
+}
+
 // link begins or ends what a strike does to the links.
 func (s *striker) link(x *model.Strike, list []*node, on bool) {
 	rs := s.c.relays
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -176,14 +176,14 @@
 // A plan with a bad key, section, value or override is refused before any run.
 func TestBadPlans(t *testing.T) {
 	for want, change := range map[string][2]string{
-		"a.plan:10:1: workers k.slits: unknown key; did you mean slots?":                                                     {"count 4", "slits 4"},
-		"gateway.attemts: unknown key; did you mean attempts?":                                                               {"set gateway.attempts 3", "set gateway.attemts 3"},
-		"the plan has no section [traffic chat]":                                                                             {"set gateway.attempts 3", "set traffic.chat.rate 3"},
-		"run.for: expected a duration such as 30s or 5m, got \"soon\"":                                                       {"for 20s", "for soon"},
+		"a.plan:10:1: workers k.slits: unknown key; did you mean slots?":                                                           {"count 4", "slits 4"},
+		"gateway.attemts: unknown key; did you mean attempts?":                                                                     {"set gateway.attempts 3", "set gateway.attemts 3"},
+		"the plan has no section [traffic chat]":                                                                                   {"set gateway.attempts 3", "set traffic.chat.rate 3"},
+		"run.for: expected a duration such as 30s or 5m, got \"soon\"":                                                             {"for 20s", "for soon"},
 		"fault f.kind: expected burst, drain, flush, hot, kill, lose, registry, reset, restart, silent, slow, spoil, got \"lazy\"": {"kind slow", "kind lazy"},
-		"traffic of class \"talk\", which the settings do not have":                                                          {"class chat\nrate", "class talk\nrate"},
-		"no section [worker] in a plan; did you mean workers?":                                                               {"[workers k]", "[worker k]"},
-		"expected `set section.key value`":                                                                                   {"set workers.k.slots 3", "put workers.k.slots 3"},
+		"traffic of class \"talk\", which the settings do not have":                                                                {"class chat\nrate", "class talk\nrate"},
+		"no section [worker] in a plan; did you mean workers?":                                                                     {"[workers k]", "[worker k]"},
+		"expected `set section.key value`":                                                                                         {"set workers.k.slots 3", "put workers.k.slots 3"},
 	} {
 		if !strings.Contains(plan, change[0]) {
 			t.Fatal(change[0])
--- a/internal/fleet/emulate/tries.go
+++ b/internal/fleet/emulate/tries.go
@@ -24,6 +24,9 @@
 type Watch struct {
 	State func(t *Try, state string) // sent, first, half, last
 	Ended func(t *Try)
+	// Offered tells whether the front offers a gateway to clients: it asks them whether
+	// they are ready. Nil: all are.
+	Offered func(addr string) bool
 }
 
 // Try is one sending of a request by a client: the first, or an ask for the rest.
@@ -203,6 +206,12 @@
 	const body = `{"model":"chat","stream":true}`
 	for n := 0; ; n++ {
 		t.Gateway = p.gateways[rng.IntN(len(p.gateways))]
+		for range 8 {
+			if p.watch.Offered == nil || p.watch.Offered(t.Gateway) {
+				break
+			}
+			t.Gateway = p.gateways[rng.IntN(len(p.gateways))]
+		}
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.Gateway+socket.JobPath, strings.NewReader(body))
 		if err != nil {
 			return nil, err
