--- a/choice/sites.go
+++ b/choice/sites.go
@@ -1,10 +1,6 @@
 package choice
 
-import (
-	"slices"
-
-	"archknot/internal/site"
-)
+import "slices"
 
 // What is told to the book of sites, and what follows where a site is lost or comes back.
 // Whether it is stands in package site; whom to send to, in the table and the guard.
@@ -130,13 +126,21 @@
 // sitePrice weighs a worker of a site that comes back after it was lost more than once.
 func (b *Balancer) sitePrice(now Micros, w *row) float64 { return 1 / b.sites.Trust(now, w.zone) }
 
-// Sites tells how each zone is, by name.
-func (b *Balancer) Sites() map[string]site.State {
-	out := map[string]site.State{}
+// LostSites lists the zones that are lost to this gateway, in order, and tells whether they
+// are all but its own: then it is likelier that it is cut off itself.
+func (b *Balancer) LostSites() (names []string, alone bool) {
+	if len(b.sites.Places) == 0 {
+		return nil, false
+	}
+	var all []int
 	for name, n := range b.zoneNo {
-		if name != "" {
-			out[name] = b.sites.State(n)
+		if name == "" || b.inSite(n) == 0 {
+			continue
+		}
+		if all = append(all, n); b.sites.Lost(n) {
+			names = append(names, name)
 		}
 	}
-	return out
+	slices.Sort(names)
+	return names, b.sites.Alone(b.myZone, all)
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"archknot/choice"
@@ -27,6 +28,8 @@
 	events    chan event
 	watches   chan struct{} // orders to the watch task
 	now       choice.Micros // read once a turn
+	lost      []string      // sites, as last told
+	sitesAt   choice.Micros // when they are looked at next
 	timers    timers
 	requests  *memory.Requests
 	registry  *memory.Registry
@@ -90,12 +93,36 @@
 			l.later = l.later[1:]
 			e.apply(l)
 		}
+		l.sites()
 		if len(l.timers) > 0 {
 			wake.Reset(time.Until(l.g.clock.at(l.timers[0].at)))
 		}
 	}
 }
 
+// sitesEvery is how often what is lost is looked at, to tell of it.
+const sitesEvery choice.Micros = 250_000
+
+// sites logs that a site was lost or is back.
+func (l *loop) sites() {
+	if l.now < l.sitesAt {
+		return
+	}
+	l.sitesAt = l.now + sitesEvery
+	lost, alone := l.b.LostSites()
+	for _, name := range lost {
+		if !slices.Contains(l.lost, name) {
+			slog.Warn("site_lost", "site", name, "cut_off", alone)
+		}
+	}
+	for _, name := range l.lost {
+		if !slices.Contains(lost, name) {
+			slog.Info("site_back", "site", name)
+		}
+	}
+	l.lost = lost
+}
+
 // The events.
 
 type arrived struct{ r *memory.Request }
