Read over: an answer counts its site's workers only while the site is lost; twins made one

Each answer scanned all rows for a number that the book reads of a lost site alone (choice/sites.go hear). The test for a worker that was asked and says nothing stood twice (guard.go, judge.go): unanswered. The commands of drills share their bar and what they print of broken rules; the emulator finds a request's first try in one place; a branch of site drill that did nothing is gone.

--- a/choice/guard.go
+++ b/choice/guard.go
@@ -181,8 +181,8 @@
 	if !last && (now < w.retryAt || !b.siteOpen(now, w) || w.fails > 0 && len(w.open) > 0) {
 		return false
 	}
-	if !last && w.probing && b.sparse() && now-w.probed >= askWait/2 {
-		return false // it was asked, and says nothing
+	if !last && b.unanswered(now, w) {
+		return false
 	}
 	for _, a := range r.attempts {
 		if a.row == w && (!last || !a.ended) {
--- a/choice/judge.go
+++ b/choice/judge.go
@@ -101,7 +101,7 @@
 		return fmt.Sprintf("rests for %.3f s more after %d failures in a row", float64(w.retryAt-now)/1e6, w.fails)
 	case !last && !b.siteOpen(now, w):
 		return "its site is lost"
-	case !last && w.probing && b.sparse() && now-w.probed >= askWait/2:
+	case !last && b.unanswered(now, w):
 		return "it was asked for its load and says nothing"
 	case !last && w.fails > 0 && len(w.open) > 0:
 		return "on trial after a failure, with one attempt out"
--- a/choice/sites.go
+++ b/choice/sites.go
@@ -14,7 +14,11 @@
 	case s == ConnectFailed, s == ConnBroken, probe && s == TimedOut:
 		b.missed(now, w)
 	case s == Served, s == Errored, s == Shed, s == Spoilt:
-		if b.sites.Heard(now, w.zone, uint64(w.id), b.inSite(w.zone)) {
+		of := 0
+		if b.sites.Lost(w.zone) { // else nobody asks, and each answer would count the fleet
+			of = b.inSite(w.zone)
+		}
+		if b.sites.Heard(now, w.zone, uint64(w.id), of) {
 			b.zoneBack(w.zone)
 		}
 	}
@@ -102,6 +106,11 @@
 	}
 }
 
+// unanswered tells that w was asked for its load, and says nothing.
+func (b *Balancer) unanswered(now Micros, w *row) bool {
+	return w.probing && b.sparse() && now-w.probed >= askWait/2
+}
+
 // overdue takes a first token that has not come in its time for a miss where nothing can be
 // asked: jams are told from losses by the answers that others of the site still give.
 func (b *Balancer) overdue(now Micros, r *request) {
--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -13,9 +14,7 @@
 	"syscall"
 	"text/tabwriter"
 
-	"github.com/schollz/progressbar/v3"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/term"
 
 	"archknot/internal/drill"
 	"archknot/internal/experiment"
@@ -73,10 +72,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	var bar *progressbar.ProgressBar
-	if f, ok := s.err.(*os.File); ok && term.IsTerminal(int(f.Fd())) {
-		bar = progressbar.NewOptions(c.Seeds, progressbar.OptionSetWriter(f), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
-	}
+	bar := countBar(s, c.Seeds)
 	var mu sync.Mutex
 	var all []*drill.Result
 	group, ctx := errgroup.WithContext(ctx)
@@ -140,13 +136,18 @@
 	}
 	fmt.Fprintf(s.out, "seed=%d sent=%d %s worth=%.4f caught=%d saved=%d lost_10s=%.1f p50_ms=%.1f breaks=%d crashes=%d\n", r.Seed, r.Sent, strings.Join(ends, " "),
 		r.Worth/max(1e-9, r.Asked), r.Caught, r.Saved, r.LostIn, r.FirstMs["p50"], len(r.Breaks), len(r.Crashes))
+	tellBroken(s.out, r)
+	return nil
+}
+
+// tellBroken prints the rules that a drill saw broken and the processes that ended.
+func tellBroken(out io.Writer, r *drill.Result) {
 	for _, b := range r.Breaks {
-		fmt.Fprintf(s.out, "  rule=%s request=%s %s\n", b.Rule, b.Root, b.What)
+		fmt.Fprintf(out, "  rule=%s request=%s %s\n", b.Rule, b.Root, b.What)
 	}
 	for _, text := range r.Crashes {
-		fmt.Fprintf(s.out, "  %s\n", strings.ReplaceAll(text, "\n", "\n    "))
+		fmt.Fprintf(out, "  %s\n", strings.ReplaceAll(text, "\n", "\n    "))
 	}
-	return nil
 }
 
 func (c *drillRunCmd) sum(all []*drill.Result) (out drilled) {
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -71,6 +71,7 @@
 	return f, spec, err
 }
 
+// countBar shows how many of n are done, on a terminal; nil elsewhere.
 func countBar(s *streams, n int) *progressbar.ProgressBar {
 	if f, ok := s.err.(*os.File); ok && term.IsTerminal(int(f.Fd())) {
 		return progressbar.NewOptions(n, progressbar.OptionSetWriter(f), progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
@@ -208,10 +209,6 @@
 			return err
 		}
 	}
-	program := c.Program
-	if program == "" {
-		program = ""
-	}
 	outside, broken := 0, 0
 	var served, toLost []float64
 	for i := range c.Seeds {
@@ -222,7 +219,7 @@
 		if one, err = f.Lost.Spec(one); err != nil {
 			return err
 		}
-		o := drill.Options{Program: program}
+		o := drill.Options{Program: c.Program}
 		if c.Logs != "" {
 			o.Dir = fmt.Sprintf("%s/%d", c.Logs, one.Seed)
 		}
@@ -251,12 +248,7 @@
 			fmt.Fprintf(s.out, " %s=%.3f", name, d.Classes[name])
 		}
 		fmt.Fprintln(s.out)
-		for _, b := range r.Breaks {
-			fmt.Fprintf(s.out, "  rule=%s request=%s %s\n", b.Rule, b.Root, b.What)
-		}
-		for _, text := range r.Crashes {
-			fmt.Fprintf(s.out, "  %s\n", text)
-		}
+		tellBroken(s.out, r)
 	}
 	if !c.JSON {
 		fmt.Fprintf(s.out, "worth served %s; forecast %s; %d of %d within; attempts at the lost site later than 1.5 s: %s of all\n",
--- a/internal/fleet/emulate/emulate.go
+++ b/internal/fleet/emulate/emulate.go
@@ -213,10 +213,8 @@
 	w.mu.Unlock()
 	if silent {
 		if r.URL.Path == socket.JobPath && w.fleet.Worked != nil {
-			met := Attempt{ID: r.Header.Get("Req-Id"), Root: r.Header.Get("Req-Id"), Worker: w.Name, From: time.Now(), Declined: true}
-			if rest, asked, err := socket.ReadRest(r.Header); asked && err == nil {
-				met.Root = rest.ID
-			}
+			id := r.Header.Get("Req-Id")
+			met := Attempt{ID: id, Root: rootOf(r.Header, id), Worker: w.Name, From: time.Now(), Declined: true}
 			defer func() { met.To = time.Now(); w.fleet.Worked(met) }()
 			_, _ = io.Copy(io.Discard, http.MaxBytesReader(out, r.Body, socket.MaxBody)) // then an end of the connection is noticed
 		}
@@ -237,6 +235,14 @@
 	}
 }
 
+// rootOf is the id of a request's first try: its own, unless it asks for another's rest.
+func rootOf(h http.Header, id string) string {
+	if rest, asked, err := socket.ReadRest(h); asked && err == nil {
+		return rest.ID
+	}
+	return id
+}
+
 func (w *Worker) serveJob(out http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(out, r.Body, socket.MaxBody))
 	if err != nil {
@@ -255,10 +261,7 @@
 	if err != nil || made < 1 || made > 1<<20 {
 		made = max(1, q.MaxTokens/4)
 	}
-	met := Attempt{ID: in.ID, Root: in.ID, Worker: w.Name, Class: q.Class, From: time.Now(), Until: time.Now().Add(time.Duration(in.Wait) * time.Microsecond)}
-	if rest, asked, err := socket.ReadRest(r.Header); asked && err == nil {
-		met.Root = rest.ID
-	}
+	met := Attempt{ID: in.ID, Root: rootOf(r.Header, in.ID), Worker: w.Name, Class: q.Class, From: time.Now(), Until: time.Now().Add(time.Duration(in.Wait) * time.Microsecond)}
 	defer func() {
 		if met.To = time.Now(); w.fleet.Worked != nil {
 			w.fleet.Worked(met)
