A watch of the registry that fell silent is begun anew at once: drains were told late

What a silent watch misses counts as told 2 s after its wait is over, and a worker that drains may get new work for 2.5 s from then on.

The logs: eight gateways of thirty had opened their watches when those fell silent. They log registry_failed at 10.03 to 10.87 s (a wait of 7.5 s and 2.5 s for the call), and their next list at 12.8 to 14.0 s; the others had the drain of 7.0 s at 10.4 s.

Cause: internal/gateway/watch.go, watch(): every failure is told to the module alike, and choice/guard.go, ListChanged(ListFailed), then waits for the spread of all gateways' calls (30 x 0.11 s, 8 s at the most), which is right for a registry that is down or crowded. Ruled out: the registry's turns (lists came within 0.1 s of the new call), the parser, the grace itself.

Change: a call that the registry took and left unanswered for all its time is begun anew at once, once; if that fails too, the module is told as before. Watches were begun in turns, so these calls come in turns as well. Decisions are not touched.

The new test has 100 gateways' spread and fails without the change after 5 s.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -398,6 +398,25 @@
 	}
 }
 
+// A watch that fell silent is begun anew at once, also where there are so many gateways
+// that failed calls wait for seconds: what it missed counts as told by then.
+func TestSilentWatchIsBegunAnewAtOnce(t *testing.T) {
+	a, b := newWorker(t, "s-1", whole), newWorker(t, "s-2", whole)
+	g := start(t, func(o *Options) {
+		o.WatchWait, o.CallTimeout = 20*time.Millisecond, 100*time.Millisecond
+		o.Settings.Gateways = 100 // a failed call's successor waits for 4 s or more
+	}, a, b)
+	g.reg.mu.Lock()
+	g.reg.mute = 1
+	g.reg.mu.Unlock()
+	until(t, "a call that is not answered", func() bool { g.reg.mu.Lock(); defer g.reg.mu.Unlock(); return g.reg.mute == 0 })
+	calls, begun := g.reg.seen(), time.Now()
+	until(t, "the watch begun anew", func() bool { return g.reg.seen() > calls })
+	if d := time.Since(begun); d > 2*time.Second {
+		t.Errorf("begun anew %v after the silent call", d)
+	}
+}
+
 // SIGTERM: what comes while the listener is open is answered, a stream is
 // finished, and then the gateway ends.
 func TestDrain(t *testing.T) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -71,20 +71,29 @@
 		case <-ctx.Done():
 			return
 		}
-		for {
+		for silent := false; ; {
 			wait := g.live.Load().watchWait
+			begun, limit := time.Now(), wait+g.live.Load().callTimeout
 			path := socket.ListQuery(version, wait.Milliseconds())
-			list, next, err := g.fetchList(ctx, addr, path, wait+g.live.Load().callTimeout)
+			list, next, err := g.fetchList(ctx, addr, path, limit)
 			if next != "" {
 				// Another registry's versions mean nothing there: the whole list.
 				addr, version = g.moved(addr, next), socket.NoVersion
 				continue
 			}
+			if err != nil && !silent && !errors.Is(err, errConnect) && time.Since(begun) >= limit {
+				// The registry took the call and let all its time pass: a watch that fell silent.
+				// What it missed counts as told by now, so it is begun anew at once, but once. The
+				// gateways' calls are as far apart as the watches were begun: in turns.
+				silent = true
+				slog.Warn("registry_silent", "err", err)
+				continue
+			}
 			if err != nil {
 				g.loop.post(ctx, listFailed{err})
 				break
 			}
-			version = list.Generation
+			silent, version = false, list.Generation
 			g.loop.post(ctx, listed{list})
 		}
 		select { // orders given while it ran are answered by its failure
