Large fleets: reading weighs by what it takes; short beginnings no longer crowd four homes

Older workers have 64% of their seconds without one first token, and in the first 8 s six of the 79 have 180 of the 288 attempts that got none within 1.4 s; 85% of those at the worst are docs, whose one beginning of 448 tokens stands before a quarter of all prompts, of 12,000 tokens.

Cause: - choice/table.go prefixThreshold: a gateway of 300 has seen one to five of a beginning, beside 149 sights of others: two to five homes of a hundred for a quarter of the traffic; holders/pick count half of the rest of a prompt as kept there. - choice/table.go pick: a token to be read weighs 6 held ones whatever the machines: on ones that run 64 or 128 requests holding costs next to nothing and reading all of the first token. - the same for kinds: reading was weighed alike on kinds that read seven times apart.

Change, in fleets above ten gateways: homes are as many more as the prompt is longer than its beginning; reading weighs by the time the aims allow for it against the time of a slot by reports of util and inflight, 6 to 48; and by its kind's first tokens against all, 1/4 to 4. Checkpoints have new fields.

--- a/choice/guard.go
+++ b/choice/guard.go
@@ -105,13 +105,6 @@
 	b.out.WatchRegistry()
 }
 
-// startCold marks w as freshly started.
-func (b *Balancer) startCold(w *row, at Micros) {
-	w.coldFrom, w.coldUntil = at, at+b.s.ColdFor
-	w.coldSlot, w.coldSpent = 0, 0
-	w.fails, w.errors, w.retryAt = 0, 0, 0
-}
-
 // warmth is the least share of its capacity that w has by now: the slowest
 // even ramp from the least start.
 func (b *Balancer) warmth(now Micros, w *row) float64 {
--- a/choice/learn.go
+++ b/choice/learn.go
@@ -43,6 +43,7 @@
 		b.noteSlow(now, a.row, float64(a.opened)/usual)
 	}
 	b.firstFit.add(a.unread, float64(a.opened))
+	b.noteKind(a.row, float64(a.opened))
 }
 
 // slowFades is how long an observation of slowness counts.
@@ -56,9 +57,35 @@
 	w.slowAt = now
 }
 
+// noteKind takes a first-token time at w, in microseconds, for its kind.
+func (b *Balancer) noteKind(w *row, took float64) {
+	k := &b.kinds[w.kind]
+	k.firstNum += took
+	k.firstDen++
+}
+
+// weighKinds sets how long first tokens take on each kind against all, within four times,
+// and lets what was seen fade.
+func (t *table) weighKinds() {
+	const prior = 8 // first tokens before a kind's own count half
+	num, den := 0.0, 0.0
+	for _, k := range t.kinds {
+		num, den = num+k.firstNum, den+k.firstDen
+	}
+	for i := range t.kinds {
+		k := &t.kinds[i]
+		if num > 0 {
+			all := num / den
+			k.first = math.Max(0.25, math.Min(4, (prior*all+k.firstNum)/(prior+k.firstDen)/all))
+		}
+		k.firstNum, k.firstDen = k.firstNum*0.99, k.firstDen*0.99
+	}
+}
+
 // noteService takes a reported service time as an observation of slowness.
 func (b *Balancer) noteService(now Micros, w *row, ms float64) {
 	mean(&b.serviceMs, ms)
+	b.noteKind(w, 1000*ms)
 	b.noteSlow(now, w, ms/b.serviceMs)
 }
 
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -21,6 +21,9 @@
 			tokens = share / w.ratio
 		}
 	}
+	if in.Has&HasUtil != 0 && in.Has&HasInFlight != 0 && in.InFlight >= 1 && in.Util > 0 {
+		mean(&b.slotShare, in.Util/in.InFlight)
+	}
 	// What waits is held soon: prompts still to be read, requests in the queue.
 	switch {
 	case in.Has&HasUnread != 0:
@@ -43,6 +46,17 @@
 	b.setHeld(now, w, tokens)
 }
 
+// liveWeight takes a registry weight as a dated report of requests held.
+func (b *Balancer) liveWeight(now Micros, w *row, weight float64) {
+	k := &b.kinds[w.kind]
+	k.idleWeight = math.Max(k.idleWeight, weight)
+	load := k.idleWeight/weight - 1
+	if b.liveScale > 0 {
+		b.setHeld(now, w, load*b.liveScale)
+	}
+	w.live = load
+}
+
 // setHeld dates a report and finds the charges that are too young for it.
 func (b *Balancer) setHeld(now Micros, w *row, tokens float64) {
 	w.held, w.reportAt, w.unseen = tokens, now, 0
@@ -53,6 +67,13 @@
 	}
 }
 
+// startCold marks w as freshly started.
+func (b *Balancer) startCold(w *row, at Micros) {
+	w.coldFrom, w.coldUntil = at, at+b.s.ColdFor
+	w.coldSlot, w.coldSpent = 0, 0
+	w.fails, w.errors, w.retryAt = 0, 0, 0
+}
+
 func (a *attempt) charge() float64 {
 	if a.opened > 0 {
 		return a.hold
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -274,9 +274,12 @@
 	whole(a, 3, &t.myZone)
 	a.each(4, len(t.kinds), func(n int) { t.kinds = make([]kindStats, n) }, func(i int, s *archive) {
 		k := &t.kinds[i]
-		for i, v := range []*float64{&k.slowNum, &k.slowDen, &k.slow, &k.share, &k.idleWeight} {
+		for i, v := range []*float64{&k.slowNum, &k.slowDen, &k.slow, &k.share, &k.idleWeight, &k.firstNum, &k.firstDen, &k.first} {
 			s.float(protowire.Number(i+1), v)
 		}
+		if k.first == 0 { // of a build that did not know it
+			k.first = 1
+		}
 	})
 	whole(a, 5, &t.ready)
 	for i, v := range []*float64{&t.meanLoad, &t.shareRatio, &t.liveScale, &t.lifetime, &t.meanHold, &t.meanCharge,
@@ -284,6 +287,7 @@
 		a.float(protowire.Number(6+i), v)
 	}
 	whole(a, 15, &t.sessNext)
+	a.float(18, &t.slotShare)
 	// The ring has each remembered session once: the map's order and its own in one.
 	var at []int
 	if a.saving {
--- a/choice/state.go
+++ b/choice/state.go
@@ -76,6 +76,7 @@
 	liveScale  float64 // tokens held for each unit of a live weight's load
 	lifetime   float64 // mean time from dispatch to end: how long a report says something
 	meanHold   float64 // mean tokens held for a request
+	slotShare  float64 // share of a worker's slots that a request takes, by reports; 0: not told
 	meanCharge float64 // mean charge of a dispatch
 	openTokens float64 // sum of hold tokens of all own attempts out
 
@@ -94,6 +95,9 @@
 	slow             float64
 	share            float64 // slow, in steps of a half power of two
 	idleWeight       float64 // the largest live weight seen
+
+	firstNum, firstDen float64 // first-token times seen and reported there, fading; microseconds
+	first              float64 // their mean against all kinds', 1 = as all
 }
 
 // row is one replica's line in the table.
@@ -197,6 +201,16 @@
 	return nil
 }
 
+// readPace is the time that the aims allow for reading a prompt token, the classes' mean;
+// microseconds.
+func (s *Settings) readPace() float64 {
+	sum := 0.0
+	for _, c := range s.Classes {
+		sum += float64(c.AimPer1000)
+	}
+	return sum / 1000 / float64(len(s.Classes))
+}
+
 func (b *Balancer) initTable() {
 	t := &b.table
 	t.byID, t.zoneNo, t.kindNo = map[ReplicaID]*row{}, map[string]int{}, map[string]int{}
@@ -228,7 +242,7 @@
 	if !ok {
 		n = len(t.kindNo)
 		t.kindNo[name] = n
-		t.kinds = append(t.kinds, kindStats{slow: 1, share: 1})
+		t.kinds = append(t.kinds, kindStats{slow: 1, share: 1, first: 1})
 	}
 	return n
 }
--- a/choice/table.go
+++ b/choice/table.go
@@ -17,6 +17,9 @@
 	// load of three workers, and trustLeast what is trusted there to be kept: trust that
 	// falls as sessions scatter scattered them more.
 	readMore, trustLeast = 1.5, 0.9
+	// readWaits is how many times the time of a worker's reading weighs against that of
+	// its slots: all that came before is read first. readMost bounds readWeight.
+	readWaits, readMost = 6.0, 12 * readCost
 	// idleMost is the part of the mean load below which a report is not believed.
 	idleMost = 0.5
 	// readCost is the charge of a prompt token that must be read, in held
@@ -73,17 +76,6 @@
 	return w
 }
 
-// liveWeight takes a registry weight as a dated report of requests held.
-func (b *Balancer) liveWeight(now Micros, w *row, weight float64) {
-	k := &b.kinds[w.kind]
-	k.idleWeight = math.Max(k.idleWeight, weight)
-	load := k.idleWeight/weight - 1
-	if b.liveScale > 0 {
-		b.setHeld(now, w, load*b.liveScale)
-	}
-	w.live = load
-}
-
 // holdTokens is what r will hold while it runs: its prompt and its answer.
 func (b *Balancer) holdTokens(r *request) float64 {
 	answer := float64(r.MaxTokens) / 4 // limits are seldom reached
@@ -131,7 +123,7 @@
 	// difference, sessions scatter and nothing is kept.
 	sparse, crowd, read, trust := b.sparse(), float64(b.s.Gateways), readCost, b.keptTrust
 	if sparse {
-		crowd, read, trust = 1, readCost*readMore, math.Max(trust, trustLeast)
+		crowd, read, trust = 1, b.readWeight(), math.Max(trust, trustLeast)
 	}
 	b.short = [shortList]candidate{}
 	last := b.lastResort(now, r)
@@ -174,17 +166,17 @@
 		noise := fresh * b.random() * b.meanHold
 		// Noise and guard only add: most rows need neither to be behind the short list.
 		if worst := &b.short[shortList-1]; worst.row != nil && b.judge == nil &&
-			w.slow*(held+hold)+read*(prompt-kept) >= worst.score {
+			w.slow*(held+hold)+read*b.kinds[w.kind].first*(prompt-kept) >= worst.score {
 			continue
 		}
 		if noise > 0 {
 			noise *= math.Sqrt(arrivals)
 		}
 		held += noise
-		// Slowness weighs what is held; weighing the reading too would make every
-		// gateway leave homes on slower kinds for whatever fast replica it liked.
+		// A worker's own slowness weighs what is held; weighing the reading by it would make
+		// gateways leave homes for whatever worker seemed fast just then. Its kind's stays.
 		guard := b.guardFactor(now, w, r)
-		score := (w.slow*(held+hold) + read*(prompt-kept)) * guard
+		score := (w.slow*(held+hold) + read*b.kinds[w.kind].first*(prompt-kept)) * guard
 		if w.zone != b.myZone {
 			score += cross
 		}
@@ -206,6 +198,16 @@
 	return best, bestKept, false
 }
 
+// readWeight is what a prompt token that must be read weighs, in held tokens: the time that
+// reading it takes, which the aims allow for, against the part of a slot's time that one holds.
+func (b *Balancer) readWeight() float64 {
+	weight := 0.0
+	if held := b.lifetime * b.slotShare / math.Max(1, b.meanHold); held > 0 {
+		weight = math.Min(readMost, readWaits*b.s.readPace()/held)
+	}
+	return math.Max(weight, readCost*readMore)
+}
+
 // sparse tells that there are so many gateways that one hears too seldom of a worker
 // for its own answers' reports to say how loaded it is now.
 func (b *Balancer) sparse() bool {
@@ -261,13 +263,18 @@
 // sight keeps gateways that have seen little near to all replicas, and so near
 // to each other: on a few sights, homes moved about with the counts. Of many
 // gateways each counts too few to tell a share: what the others have seen stands
-// beside it as sights of other prefixes, half as many as they are.
+// beside it as sights of other prefixes, half as many as they are. Keeping to few homes
+// saves the prefix and crowds the rest of the prompt: of many gateways each takes as many more as that is longer.
 func (b *Balancer) prefixThreshold(r *request) float64 {
 	if r.Prefix == 0 || b.popTotal <= 0 || b.ready == 0 {
 		return 1
 	}
 	unseen := math.Max(1, float64(b.s.Gateways)/2-1)
-	return math.Max(2/float64(b.ready), homeSpread*(b.popular[r.Prefix]+1)/(b.popTotal+unseen))
+	spread := homeSpread
+	if b.sparse() {
+		spread *= math.Max(1, float64(r.PromptTokens)/math.Max(1, float64(r.PrefixTokens)))
+	}
+	return math.Max(2/float64(b.ready), spread*(b.popular[r.Prefix]+1)/(b.popTotal+unseen))
 }
 
 // holders finds the replicas that all gateways take for the first and the second
@@ -332,6 +339,9 @@
 		k.share = math.Exp2(math.Round(2*math.Log2(k.slow)) / 2)
 		k.slowNum, k.slowDen = k.slowNum*0.99, k.slowDen*0.99
 	}
+	if b.sparse() {
+		b.weighKinds()
+	}
 	b.ready = 0
 	load, weight, size, sized := 0.0, 0.0, 0.0, 0.0
 	for _, w := range b.rows {
