A test of the commands no longer fails at the turn of an hour

Cause: internal/cli/cli_test.go gives its team a budget by the hour, and the capture begins at the present time: at the turn of an hour half of the use falls to a fresh budget. The budget is by the quarter now, which leaves the same 50 s four times a year in place of each hour; a capture's start cannot be set yet.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -68,7 +68,7 @@
 	teams, page := filepath.Join(t.TempDir(), "teams.conf"), filepath.Join(t.TempDir(), "page.html")
 	plan, results := filepath.Join(t.TempDir(), "a.plan"), filepath.Join(t.TempDir(), "results")
 	os.WriteFile(plan, []byte("[run]\nfor 8s\nwarm 1s\nseeds 4\n[class chat]\naim 1s\n[workers k]\ncount 3\nslots 4\nqueue 4\n[traffic t]\nclass chat\nrate 25\n[variant base]\nbase\n[variant one]\nset gateway.attempts 1\n"), 0o600)
-	os.WriteFile(teams, []byte("[contract all]\ntenants \"\"\nrate 100\nburst 5000\nbudget hour 0 30000\nborrow none\n[contract x]\ntenants x\nrate 5\nuntil 2027-07-01T00:00:00Z\nsuccessor all\n"), 0o600)
+	os.WriteFile(teams, []byte("[contract all]\ntenants \"\"\nrate 100\nburst 5000\nbudget quarter 0 30000\nborrow none\n[contract x]\ntenants x\nrate 5\nuntil 2027-07-01T00:00:00Z\nsuccessor all\n"), 0o600)
 	for _, c := range []struct {
 		args string
 		code int
