--- a/choice/learn.go
+++ b/choice/learn.go
@@ -57,8 +57,11 @@
 	w.slowAt = now
 }
 
-// noteKind takes a first-token time at w, in microseconds, for its kind.
+// noteKind takes a first-token time at w, in microseconds, for its kind, in large fleets.
 func (b *Balancer) noteKind(w *row, took float64) {
+	if !b.sparse() {
+		return // kinds stay alike
+	}
 	k := &b.kinds[w.kind]
 	k.firstNum += took
 	k.firstDen++
--- a/choice/table.go
+++ b/choice/table.go
@@ -164,9 +164,10 @@
 		// Gateways that read one report must not all pick one replica: the
 		// sends of peers that it cannot show yet are a noise of their own.
 		noise := fresh * b.random() * b.meanHold
+		reading := read * b.kinds[w.kind].first * (prompt - kept)
 		// Noise and guard only add: most rows need neither to be behind the short list.
 		if worst := &b.short[shortList-1]; worst.row != nil && b.judge == nil &&
-			w.slow*(held+hold)+read*b.kinds[w.kind].first*(prompt-kept) >= worst.score {
+			w.slow*(held+hold)+reading >= worst.score {
 			continue
 		}
 		if noise > 0 {
@@ -176,7 +177,7 @@
 		// A worker's own slowness weighs what is held; weighing the reading by it would make
 		// gateways leave homes for whatever worker seemed fast just then. Its kind's stays.
 		guard := b.guardFactor(now, w, r)
-		score := (w.slow*(held+hold) + read*b.kinds[w.kind].first*(prompt-kept)) * guard
+		score := (w.slow*(held+hold) + reading) * guard
 		if w.zone != b.myZone {
 			score += cross
 		}
@@ -263,8 +264,8 @@
 // sight keeps gateways that have seen little near to all replicas, and so near
 // to each other: on a few sights, homes moved about with the counts. Of many
 // gateways each counts too few to tell a share: what the others have seen stands
-// beside it as sights of other prefixes, half as many as they are. Keeping to few homes
-// saves the prefix and crowds the rest of the prompt: of many gateways each takes as many more as that is longer.
+// beside it as sights of other prefixes, half as many as they are. There a prefix has
+// more homes the longer the prompt is: few save the prefix and crowd all the rest.
 func (b *Balancer) prefixThreshold(r *request) float64 {
 	if r.Prefix == 0 || b.popTotal <= 0 || b.ready == 0 {
 		return 1
@@ -339,9 +340,7 @@
 		k.share = math.Exp2(math.Round(2*math.Log2(k.slow)) / 2)
 		k.slowNum, k.slowDen = k.slowNum*0.99, k.slowDen*0.99
 	}
-	if b.sparse() {
-		b.weighKinds()
-	}
+	b.weighKinds()
 	b.ready = 0
 	load, weight, size, sized := 0.0, 0.0, 0.0, 0.0
 	for _, w := range b.rows {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -72,9 +72,9 @@
 			return
 		}
 		for silent := false; ; {
-			wait := g.live.Load().watchWait
-			begun, limit := time.Now(), wait+g.live.Load().callTimeout
-			path := socket.ListQuery(version, wait.Milliseconds())
+			live, begun := g.live.Load(), time.Now()
+			limit := live.watchWait + live.callTimeout
+			path := socket.ListQuery(version, live.watchWait.Milliseconds())
 			list, next, err := g.fetchList(ctx, addr, path, limit)
 			if next != "" {
 				// Another registry's versions mean nothing there: the whole list.
