No attempt begins for a client that has gone: the system is asked where one is written

On a busy core the server's word also comes later than the close itself.

Change: memory.Gone asks the socket (a peek; behind unread bytes TCP_INFO's state), at the one place where an attempt is written (exchange, after the connect); a client seen to have gone ends its request's context. Ruled out: a watcher for each request (20 peeks a second each). Lines at fault: delegation.go, the check of d.Ctx alone before the write.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -133,8 +133,10 @@
 		return
 	}
 	defer hand.let()
-	ctx := hand.context(r)
+	ctx, end := context.WithCancel(hand.context(r))
+	defer end()
 	req := memory.NewRequest(ctx, job.ID, job.Request, sentAt+job.Wait, max(mostAttempts, g.o.Settings.MaxAttempts))
+	req.Left, req.End = conn.gone, end
 	answer, worker, delegations, first, retryAfter := "left", "", 0, choice.Micros(0), choice.Micros(0)
 	defer func() {
 		if g.o.Ended != nil {
@@ -165,7 +167,7 @@
 		case memory.PassOn:
 			worker, first = a.Delegation.Worker.Instance.ID, g.clock.now()-sentAt
 			whole := passOn(w, a.Delegation, hand)
-			if r.Context().Err() != nil || hand.lost() {
+			if ctx.Err() != nil || hand.lost() {
 				g.loop.events <- left{req}
 			} else if whole {
 				answer = "served"
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -124,6 +124,9 @@
 	return nil
 }
 
+// gone asks the system whether the client has closed the connection.
+func (c *clientConn) gone() bool { return memory.Gone(c.Conn) }
+
 func (c *clientConn) sentAt() choice.Micros {
 	if at := c.first.Load(); at > 0 {
 		return at
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/delegation.go
@@ -67,7 +67,9 @@
 			g.pool.Drop(c)
 		}
 	}()
-	if !hand.mine() || d.Ctx.Err() != nil { // called off while it connected: nothing may go out any more
+	// Called off while it connected, or its client gone while it waited for the core: here, and
+	// nowhere else, an attempt begins, and nothing may go out any more.
+	if !hand.mine() || d.Request.Gone() || d.Ctx.Err() != nil {
 		return choice.Cancelled
 	}
 	hand.sends()
--- /dev/null
+++ b/internal/gateway/gone_test.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/memory"
+)
+
+// A client that has closed its connection, wholly or its own half, or has reset it, is gone:
+// no attempt begins from then on, also where the server has not noticed. The system is asked
+// at the one place where an attempt is written.
+func TestGoneIsAskedOfTheSystem(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for name, c := range map[string]struct {
+		end  func(*net.TCPConn)
+		gone bool
+	}{
+		"stays":             {func(c *net.TCPConn) {}, false},
+		"sends more, stays": {func(c *net.TCPConn) { io.WriteString(c, "GET /") }, false},
+		"closes":            {func(c *net.TCPConn) { c.Close() }, true},
+		"closes its half":   {func(c *net.TCPConn) { c.CloseWrite() }, true},
+		"resets":            {func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true},
+		"sends more, goes":  {func(c *net.TCPConn) { io.WriteString(c, "GET /"); c.Close() }, true},
+	} {
+		there, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		here, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.end(there.(*net.TCPConn))
+		if c.gone {
+			until(t, name+": seen to be gone", func() bool { return memory.Gone(here) })
+		} else if time.Sleep(20 * time.Millisecond); memory.Gone(here) {
+			t.Errorf("%s: taken for gone", name)
+		}
+		here.Close()
+		there.Close()
+	}
+}
+
+// A client leaves at each point at which its request waits, alone or with all others at once,
+// also behind bytes that it sent past its request, which keep the server from hearing of it. No
+// attempt begins from 0.1 s after that on.
+func TestNothingBeginsForTheGone(t *testing.T) {
+	for name, more := range map[string]string{"plain": "", "more behind": "GET /health/ready HTTP/1.1\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			var begun, late atomic.Int32
+			var goneAt atomic.Int64
+			hold := make(chan struct{})
+			w := newWorker(t, "s-1", func(c net.Conn, r *http.Request) bool {
+				if at := goneAt.Load(); at > 0 && time.Now().UnixNano() > at+int64(100*time.Millisecond) {
+					late.Add(1)
+				}
+				begun.Add(1)
+				<-hold // the first attempt: declined after its client has gone, which asks for another
+				io.WriteString(c, declined)
+				return true
+			})
+			other := newWorker(t, "s-2", w.script)
+			g := start(t, nil, w, other)
+			var all []*client
+			for i := range 20 {
+				c := dial(t, g.addr)
+				c.ask("gone"+name[:1]+string(rune('a'+i)), "4000m")
+				all = append(all, c)
+			}
+			until(t, "attempts", func() bool { return begun.Load() == 20 })
+			for _, c := range all {
+				if more != "" {
+					c.raw(more)
+				}
+				c.Close()
+			}
+			goneAt.Store(time.Now().UnixNano())
+			time.Sleep(150 * time.Millisecond) // the clock of the rule: what begins now is late
+			close(hold)
+			until(t, "nothing in hand", func() bool { return g.clients.held() == 0 && len(g.loop.events) == 0 || late.Load() > 0 })
+			if n := late.Load(); n > 0 {
+				t.Errorf("%d attempts begun for clients that had gone", n)
+			}
+		})
+	}
+}
+
+// The same for a client that goes while its attempt waits for a connection that comes up late:
+// nothing is written to it.
+func TestNothingIsWrittenAfterALateConnect(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	g, err := New(options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	store := memory.NewRequests()
+	ctx, end := context.WithCancel(t.Context())
+	r := memory.NewRequest(ctx, "late", choice.Request{}, 0, 3)
+	r.Left, r.End = func() bool { return true }, end // the system knows, the server does not
+	store.Add(r)
+	now := g.clock.now()
+	d := store.Delegation(r, &memory.Worker{}, now, now+1e6)
+	d.Worker.Addr = l.Addr().String()
+	in, _ := http.NewRequest("POST", "/v1/chat/completions", nil)
+	go g.delegate(in, []byte("{}"), d, nil)
+	if e := (<-g.loop.events).(ended); e.status != choice.Cancelled {
+		t.Errorf("status %v", e.status)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if b, err := io.ReadAll(c); len(b) > 0 || err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read %q, %v", b, err)
+	}
+}
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // ErrFull says that the gateway may open no further connection.
@@ -102,6 +104,38 @@
 	return err == nil && n > 0
 }
 
+// Gone tells whether the other side has closed its half of a connection or reset it. Bytes
+// that have come and were not read may stand before that end: the system's own view of the
+// connection tells it all the same.
+func Gone(c net.Conn) bool {
+	switch n, err := peek(c); {
+	case err == nil && n > 0:
+		return ended(c)
+	case err == nil:
+		return true
+	default:
+		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+	}
+}
+
+// ended tells whether the other side's end has come, read or not.
+func ended(c net.Conn) (yes bool) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		yes = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE ||
+			info.State == unix.BPF_TCP_LAST_ACK || info.State == unix.BPF_TCP_CLOSING)
+	})
+	return yes
+}
+
 // peek looks at what can be read from a connection now: EAGAIN says nothing.
 func peek(c net.Conn) (n int, err error) {
 	sc, ok := c.(syscall.Conn)
--- a/internal/memory/requests.go
+++ b/internal/memory/requests.go
@@ -34,6 +34,8 @@
 	Name        string // the client's own id of it
 	In          choice.Request
 	Ctx         context.Context // ends when the client leaves or is answered
+	Left        func() bool     // whether the client has closed its connection, asked of the system; nil: it cannot be asked
+	End         func()          // ends Ctx
 	Deadline    choice.Micros   // when the client gives up, on the gateway's clock
 	Actions     chan Action
 	Delegations []*Delegation
@@ -77,6 +79,15 @@
 	return &Request{Name: name, In: in, Ctx: ctx, Deadline: deadline, Actions: make(chan Action, maxAttempts+2)}
 }
 
+// Gone tells whether the client has left. The server hears of it a while later where the core
+// is busy, or where the client had sent more behind its request; then Ctx ends here.
+func (r *Request) Gone() bool {
+	if r.Ctx.Err() == nil && r.Left != nil && r.Left() {
+		r.End()
+	}
+	return r.Ctx.Err() != nil
+}
+
 // Add numbers a request and takes it in.
 func (s *Requests) Add(r *Request) {
 	for s.byID[s.next] != nil {
