A list is trusted for 6 s past discovery's last word; cold replicas get a share of attempts

Needs (the operators' terms): a change counts as told 6 s after discovery had it and could be reached, whatever became of a call; at cold replicas the sum over all processes stays within N + 2 root N + 2.

Seen: a failed call was followed by another after 4 to 16 s, and in the meantime the old list was trusted whole. - Few gateways (up to 4 without turns) ask again within 1 s and wait 1 s for news, so the next answer is there within 6 s whatever became of one call; agents on this machine (pushed lists) are asked again within 0.2 s, with waits of 1 s. - A refused connect (ListUnreached) costs discovery nothing and tells that there was nothing to be told: the clock starts anew, the back-off does not grow. - 6 s after the last word a replica gets new work only if within 6 s it took work or answered a probe.

Cold replicas (coldAllows). Change: an attempt that would go to a cold replica is let in by chance, such that 0.45 N are in the mean whatever the number of gateways, the traffic's spread and how attractive cold ones look (that share is seen, and taken for all until enough was); N by how busy warm replicas say they are; a heavy one by the square of its work less often.

--- a/choice/api.go
+++ b/choice/api.go
@@ -82,6 +82,8 @@
 	ReportVia      ReportVia
 	Weights        WeightMeaning
 	AskRegistry    bool   // the server list answers only when asked
+	ListsPushed    bool   // whom to ask is an agent on this machine, which answers at no cost
+	WatchWait      Micros // a call that waits for news is answered at least so often; 0: no news means that there is none
 	Tick           Micros // least time between two rounds of events
 
 	MayProbe, MayTellPeers, MayCancel, SecondCopies, RetryAfter bool
@@ -125,12 +127,23 @@
 type ListKind uint8
 
 const (
-	ListDelta  ListKind = iota // changed entries only
-	ListFull                   // everything; what is absent is gone
-	ListSaved                  // the list as last held, maybe outdated
-	ListFailed                 // a call to the registry failed, the old list stands
+	ListDelta     ListKind = iota // changed entries only
+	ListFull                      // everything; what is absent is gone
+	ListSaved                     // the list as last held, maybe outdated
+	ListFailed                    // a call to discovery failed, the old list stands
+	ListUnreached                 // so too, and discovery could not be reached just now
+	ListOwn                       // changed entries by the operators' word: nothing was heard of discovery
 )
 
+// Whole tells whether a list of this kind has all replicas: what it lacks is gone.
+func (k ListKind) Whole() bool { return k == ListFull || k == ListSaved }
+
+// Failed tells that there is no list, but word of a call that failed.
+func (k ListKind) Failed() bool { return k == ListFailed || k == ListUnreached }
+
+// Heard tells that a list of this kind is discovery's own word, given now.
+func (k ListKind) Heard() bool { return k == ListFull || k == ListDelta }
+
 // ServerList is news of the fleet.
 type ServerList struct {
 	Kind    ListKind
--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -24,7 +24,7 @@
 	}
 	b.Start(100 * sec)
 	b.ListChanged(100*sec, ServerList{Kind: ListFull, Members: members})
-	b.meanHold, b.meanLoad, b.sendRate, b.chargeRate = 1500, 9000, 20, 100_000
+	b.meanHold, b.meanLoad, b.sendRate = 1500, 9000, 20
 	for i, w := range b.rows {
 		if i%3 > 0 {
 			w.held, w.reportAt = float64(i%23)*900, 100*sec-Micros(i%29)*200_000
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,7 +72,7 @@
 
 // Start is called once, before all other events.
 func (b *Balancer) Start(now Micros) {
-	b.lastTick = now
+	b.lastTick, b.toldAt = now, now
 	if b.s.AskRegistry {
 		b.askAt = now + b.askSpread()*int64(b.s.Self)/int64(b.s.Gateways) // each in its turn
 		if b.askAt == now {
@@ -255,6 +255,7 @@
 	a.opened = max(1, o.Elapsed)
 	b.release(a.row, a, false)
 	b.hear(now, a.row, Served, false)
+	a.row.provedAt = max(a.row.provedAt, a.sent)
 	b.learnFirst(now, a)
 	if !r.opened && !r.ended {
 		r.opened = true
--- /dev/null
+++ b/choice/cold_test.go
@@ -0,0 +1,164 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// coldFleet is a fleet whose cold replicas look empty, before gateways that have all just
+// started.
+type coldFleet struct {
+	gateways, replicas, cold int
+	rate                     float64 // requests a second of the whole fleet
+	uneven                   bool    // some gateways get eight times what others do
+	hungry                   bool    // cold replicas look empty whatever they have
+	util                     float64 // how busy warm replicas say they are; 0: they do not say
+}
+
+// play gives the times and the work, in requests of mean work, of what cold replicas are sent.
+func (f coldFleet) play(t *testing.T, seed uint64) map[ReplicaID][][2]float64 {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	s := eighty()
+	s.Gateways = f.gateways
+	members := fleet(f.replicas)
+	for i := range f.cold {
+		members[i].Since = 100 * sec
+	}
+	weights, total := make([]float64, f.gateways), 0.0
+	for i := range weights {
+		if weights[i] = 1; f.uneven && i%4 == 0 {
+			weights[i] = 8
+		}
+		total += weights[i]
+	}
+	sent := map[ReplicaID][][2]float64{}
+	for self := range f.gateways {
+		s.Self = self
+		rec := &recorder{}
+		b, err := New(s, 1, rec) // the same seed at each: what they share must not add up
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(100 * sec)
+		b.ListChanged(100*sec, ServerList{Kind: ListSaved, Members: members})
+		type ending struct {
+			at Micros
+			o  Outcome
+		}
+		var endings []ending
+		lastTick, id := 100*sec, RequestID(0)
+		mean := float64(f.gateways) // between two requests, in seconds
+		for at := 100.0; ; {
+			at += rnd.ExpFloat64() * mean / f.rate * total / weights[self] / mean
+			now := Micros(at * 1e6)
+			for ; lastTick < now; lastTick += tickEvery {
+				b.tick(lastTick)
+				b.toldAt = lastTick // discovery is well
+			}
+			for len(endings) > 0 && endings[0].at <= now {
+				b.AttemptEnded(endings[0].at, endings[0].o)
+				endings = endings[1:]
+			}
+			if now >= 100*sec+s.ColdFor {
+				break
+			}
+			id++
+			rec.acts = nil
+			r := req(id)
+			r.PromptTokens = []int{250, 500, 1000, 3000}[rnd.IntN(4)]
+			r.Session, r.Prefix, r.PrefixTokens = rnd.Uint64N(2000)+1, rnd.Uint64N(30)+1, 200
+			b.RequestArrived(now, r)
+			for _, w := range asked(&recorder{acts: slices.Clone(rec.acts)}) {
+				row := b.byID[w]
+				inFlight := 8.0
+				if now < row.coldUntil {
+					if inFlight *= b.warmth(now, row); f.hungry {
+						inFlight = 0
+					}
+				}
+				report := load(inFlight)
+				if f.util > 0 {
+					report.Has, report.Util = report.Has|HasUtil, f.util
+				}
+				b.ProbeEnded(now+2000, Outcome{Replica: w, Status: Served, Report: report})
+			}
+			if f.hungry { // and the others full
+				for _, w := range b.rows[f.cold:] {
+					w.held, w.charge, w.reportAt = 1e6, 1e6, now
+				}
+			}
+			for _, a := range rec.take("dispatch") {
+				if int(a.to) <= f.cold {
+					mean := (readCost + 1) * (250 + 500 + 1000 + 3000) / 4
+					sent[a.to] = append(sent[a.to], [2]float64{at, (readCost + 1) * float64(r.PromptTokens) / float64(mean)})
+				}
+				endings = append(endings, ending{now + sec, Outcome{ID: id, Replica: a.to, Elapsed: sec, Status: Served, Final: true}})
+			}
+		}
+	}
+	return sent
+}
+
+// excess is the most that any cold replica was sent in any span over N, in roots of N; and
+// whether it was over N + 2 roots of N + 2, by requests or by their work.
+func (f coldFleet) excess(s Settings, sent map[ReplicaID][][2]float64) (most float64, over bool, share float64) {
+	n := 0
+	for _, all := range sent {
+		n += len(all)
+		slices.SortFunc(all, func(a, b [2]float64) int { return int(math.Copysign(1, a[0]-b[0])) })
+		for i, first := range all {
+			warm := s.StartCapacity + (1-s.StartCapacity)*(first[0]-100)*1e6/float64(s.ColdFor)
+			allowed := s.FallMultiple * warm * f.rate / float64(f.replicas) * float64(s.FallSpan) / 1e6
+			if f.util > 0 { // a warm one can do more than it is sent
+				allowed /= f.util
+			}
+			count, work := 0.0, 0.0
+			for _, next := range all[i:] {
+				if next[0] >= first[0]+float64(s.FallSpan)/1e6 {
+					break
+				}
+				count, work = count+1, work+next[1]
+			}
+			got := math.Max(count, work)
+			most = math.Max(most, (got-allowed)/math.Sqrt(allowed))
+			over = over || got > allowed+2*math.Sqrt(allowed)+2
+		}
+	}
+	return most, over, float64(n) / (f.rate * float64(s.ColdFor) / 1e6)
+}
+
+// The sum of what all gateways send to a cold replica, in any span and counted by requests or
+// by their work, stays under what the rule allows and what is chance, however many they are
+// and whatever each gets, all of them just started with the same seed, and where each of them
+// sees cold replicas empty and the others full. Thirty gateways that each let one request in
+// came to three times that.
+func TestSumAtColdReplicas(t *testing.T) {
+	for _, f := range []coldFleet{
+		{3, 12, 4, 25, false, true, 0}, {3, 12, 4, 25, true, false, 0}, {20, 16, 5, 60, true, true, 0}, {20, 40, 1, 80, false, true, 0},
+		{30, 12, 6, 30, true, true, 0}, {30, 40, 24, 120, true, true, 0}, {30, 40, 24, 120, false, false, 0.6}, {30, 40, 24, 120, true, true, 0.6},
+		{300, 60, 36, 300, true, true, 0}, {300, 60, 6, 300, true, false, 0.6},
+	} {
+		t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
+			t.Parallel()
+			largest, broken, used, seeds := 0.0, 0, 0.0, uint64(8)
+			if f.gateways == 300 {
+				seeds = 2
+			}
+			for seed := range seeds {
+				most, over, share := f.excess(eighty(), f.play(t, seed))
+				largest, used = math.Max(largest, most), used+share/float64(seeds)
+				broken += int(one(over))
+			}
+			t.Logf("largest excess %.2f roots of N; %.1f%% of all went to cold ones, %.0f%% of the fleet", largest, 100*used, 100*float64(f.cold)/float64(f.replicas))
+			if broken > 0 {
+				t.Errorf("over N + 2 roots of N + 2 in %d of %d runs; largest excess %.2f roots", broken, seeds, largest)
+			}
+			if used == 0 {
+				t.Error("a cold replica never gets anything")
+			}
+		})
+	}
+}
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -15,15 +15,14 @@
 	hedgeShare, retryShare, budgetCap = 0.02, 0.2, 8.0
 	// backoffFirst and backoffMost bound the rest of a failing replica.
 	backoffFirst, backoffMost Micros = 500_000, 16_000_000
-	// askFirst and askMost bound the wait before the registry is asked again;
-	// the rules count a gateway that has not asked for longer as told.
-	askFirst, askMost Micros = 500_000, 5_000_000
-	// askEach is the registry's time for one gateway's call, and spreadMost bounds the
-	// turns of all of them: the rules let a gateway go for some seconds without asking.
-	askEach, spreadMost Micros = 110_000, 8_000_000
-	// coldCare is the part of the allowed cold work that is used: requests come
-	// by chance and cost more than their budget at times.
-	coldCare = 0.4
+	// coldCare is the part of the allowed cold work that is used: the sum of what all gateways
+	// send scatters by chance, and traffic has bursts. See docs/design/cold.md.
+	coldCare = 0.45
+	// coldPrior is how many attempts are taken to have wanted cold replicas before any was
+	// seen, and coldFades over how many seconds what was seen fades.
+	coldPrior, coldFades = 8.0, 4.0
+	// leastUtil bounds what reports of how busy warm replicas are may tell of their room.
+	leastUtil = 0.5
 	// lateMost is the share of late requests from which less is admitted, and
 	// leastPart the part of the limit that even the least worth may fill.
 	lateMost, leastPart = 0.2, 0.3
@@ -42,69 +41,6 @@
 	comeBackFirst, comeBackLast = 0.125, 0.5
 )
 
-// ListChanged takes news of the fleet. Rule 3: what drains or is gone gets
-// nothing from this moment on, which is within any grace.
-func (b *Balancer) ListChanged(now Micros, l ServerList) {
-	if l.Kind == ListFailed {
-		if b.s.AskRegistry {
-			// Calls fail when all ask at once: wait longer each time, apart.
-			b.watching = false
-			spread := b.askSpread()
-			b.askBackoff = min(max(askMost, 2*spread), max(askFirst, spread, 2*b.askBackoff))
-			b.askAt = now + int64(float64(b.askBackoff)*(0.5+0.5*b.random()))
-		}
-		return
-	}
-	if l.Kind != ListSaved {
-		b.watching, b.askBackoff, b.askAt = true, 0, 0
-	}
-	if l.Kind != ListDelta {
-		seen := make(map[ReplicaID]bool, len(l.Members))
-		for _, m := range l.Members {
-			seen[m.Replica] = true
-		}
-		for _, w := range b.rows {
-			if !seen[w.id] {
-				w.state = MemberGone
-			}
-		}
-	}
-	for _, m := range l.Members {
-		b.listed(now, m, !b.firstList)
-	}
-	if l.Kind != ListSaved {
-		b.firstList = true
-	}
-	keep := b.rows[:0]
-	for _, w := range b.rows {
-		if w.state == MemberGone && len(w.open) == 0 {
-			delete(b.byID, w.id)
-			continue
-		}
-		keep = append(keep, w)
-	}
-	clear(b.rows[len(keep):])
-	b.rows = keep
-	b.rehash()
-	b.refresh(now)
-}
-
-// askSpread is over how long the gateways' calls must be apart for the registry to
-// answer all; 0: it takes them at once. It works for calls too that it will not
-// answer in time: eighty at once kept it busy for ten seconds with seventeen answers,
-// and with all asking again within seconds it answered none.
-func (b *Balancer) askSpread() Micros {
-	if all := Micros(b.s.Gateways) * askEach; all > askFirst {
-		return min(all, spreadMost)
-	}
-	return 0
-}
-
-func (b *Balancer) watch(now Micros) {
-	b.askAt = now + askMost // asked again if no answer comes at all
-	b.out.WatchRegistry()
-}
-
 // warmth is the least share of its capacity that w has by now: the slowest
 // even ramp from the least start.
 func (b *Balancer) warmth(now Micros, w *row) float64 {
@@ -115,43 +51,43 @@
 	return b.s.StartCapacity + (1-b.s.StartCapacity)*age
 }
 
-// coldAllows is rule 4: all gateways together may send a cold replica no more
-// than a multiple of what it can do now. Each keeps to its own share of that,
-// counted in the fleet's present work for a replica, which warm ones bear.
-func (b *Balancer) coldAllows(now Micros, w *row, charge float64) bool {
-	warm := b.warmth(now, w)
-	if warm >= 1 {
-		return true
-	}
-	slot := (now - w.coldFrom) / max(1, b.s.FallSpan)
-	round := unit(mix(b.seed ^ w.hash ^ uint64(slot)))
-	if slot != w.coldSlot {
-		w.coldSlot, w.coldSpent = slot, 0
-	}
-	if b.sparse() {
-		// Shares of a hundredth of a request would hardly ever be used. A pick asks few
-		// workers, which bounds what comes to one: it is open to a part of the gateways
-		// by its warmth, in each span to others, for one request each.
-		return w.coldSpent == 0 && round <= coldCare*b.s.FallMultiple*warm
+// coldAllows is rule 4: all gateways together may send a cold replica no more than a multiple
+// of what it can do now, N requests of mean work in a span. Of R requests in the span to n
+// replicas, N is FallMultiple * warmth * R / n. An attempt that would go to w for its least
+// load is let in with such a chance that coldCare * N are in the mean, however many gateways
+// there are and whatever each gets, and by chance as a Poisson count has it: the share of all
+// attempts that want some cold replica is seen, and taken for all until enough was. A heavy
+// request is let in by the square of its work less often: by its work, and that it scatters
+// the sum no more than others. Nothing is saved up.
+func (b *Balancer) coldAllows(now Micros, w *row, r *request) bool {
+	wanted := (coldPrior + b.coldWon) / (coldPrior + b.coldSeen)
+	heavy := math.Max(1, b.work(r)/math.Max(1, b.meanWork))
+	share := coldCare * b.s.FallMultiple * b.warmth(now, w) / (math.Max(1, w.slow) * heavy * heavy)
+	if b.util > 0 { // what replicas can do is more than what they get
+		share /= math.Max(leastUtil, math.Min(1, b.util))
+	}
+	return b.random()*wanted < share*float64(b.cold)/float64(max(1, b.ready))
+}
+
+// noteCold counts an attempt while replicas are cold, and whether it would go to one of them.
+func (b *Balancer) noteCold(now Micros, w *row) (cold bool) {
+	if b.cold > 0 {
+		b.coldSeen++
 	}
-	if b.ready == 0 || b.chargeRate <= 0 {
-		return false
+	if cold = w != nil && now < w.coldUntil; cold {
+		b.coldWon++
 	}
-	// own share of the work that a warm replica of like speed gets in a span
-	share := b.chargeRate / float64(b.ready) / math.Max(1, w.slow) * float64(b.s.FallSpan) / 1e6
-	// What a gateway may send in one span is often under one request. It rounds
-	// by the hash of the span, apart from its peers, and saves nothing up: saved
-	// shares of many gateways, spent at once, pushed a cold replica over.
-	return w.coldSpent+round*charge <= coldCare*b.s.FallMultiple*warm*share
+	return cold
+}
+
+// work is what r takes of a replica that has kept nothing, in held tokens.
+func (b *Balancer) work(r *request) float64 {
+	return readCost*float64(r.PromptTokens) + b.holdTokens(r)
 }
 
 // noteSent counts a dispatch.
-func (b *Balancer) noteSent(now Micros, w *row, charge float64) {
+func (b *Balancer) noteSent(now Micros, w *row) {
 	b.sentNow++
-	b.chargedNow += charge
-	if now < w.coldUntil {
-		w.coldSpent += charge
-	}
 	b.sites.Due(now, w.zone, 0.5) // where nothing else may, this request tries a lost site
 }
 
@@ -174,7 +110,7 @@
 	if !last && (now < w.retryAt || !b.siteOpen(now, w) || w.fails > 0 && len(w.open) > 0) {
 		return false
 	}
-	if !last && b.unanswered(now, w) {
+	if !last && b.unanswered(now, w) || b.doubted(now, w) && !b.asking && (b.s.MayProbe || !last) {
 		return false
 	}
 	for _, a := range r.attempts {
@@ -185,14 +121,14 @@
 	if len(r.attempts) > 0 && !b.mayRepeat(now, r, w) {
 		return false
 	}
-	return now >= w.coldUntil || b.coldAllows(now, w, readCost*float64(r.PromptTokens)+b.holdTokens(r))
+	return now >= w.coldUntil || !b.noCold
 }
 
 // guardFactor weighs a usable row's predicted load: a replica that errs wastes
 // attempts, one in another zone or without a connection costs a little.
 func (b *Balancer) guardFactor(now Micros, w *row, r *request) float64 {
 	f := 1.0
-	if now < w.coldUntil { // a cold one reads and streams as much slower
+	if now < w.coldUntil { // it reads and streams as much slower
 		f = 1 / b.warmth(now, w)
 	}
 	if w.errors > 0.02 {
@@ -290,6 +226,7 @@
 // noteArrival counts a request.
 func (b *Balancer) noteArrival(r *request) {
 	b.notePrefix(r)
+	mean(&b.meanWork, b.work(r))
 	if r.tenant >= 0 {
 		b.usedNow[r.tenant]++
 	}
@@ -415,14 +352,15 @@
 	const span = 8.0 // seconds over which rates are averaged
 	g := math.Min(1, dt/span)
 	b.sendRate += g * (b.sentNow/dt - b.sendRate)
-	b.chargeRate += g * (b.chargedNow/dt - b.chargeRate)
-	b.sentNow, b.chargedNow = 0, 0
+	b.sentNow = 0
 	for i := range b.usage {
 		b.usage[i] += g * (b.usedNow[i]/dt - b.usage[i])
 		b.usedNow[i] = 0
 	}
 	// What was seen fades with time too: a gateway that refuses most of what
 	// comes sees too little to find out that the jam is over.
+	b.coldSeen *= 1 - math.Min(1, dt/coldFades)
+	b.coldWon *= 1 - math.Min(1, dt/coldFades)
 	b.late *= 1 - math.Min(1, dt/lateFades)
 	b.pace *= 1 - math.Min(1, dt/lateFades)
 	b.openMean += math.Min(1, dt/2) * (b.openTokens - b.openMean)
@@ -431,9 +369,7 @@
 	}
 	b.openLimit *= 1 + openGrows*dt
 	b.openFloor = b.openLimit * closesMost
-	if b.askAt > 0 && now >= b.askAt && !b.watching {
-		b.watch(now)
-	}
+	b.followList(now)
 	b.refresh(now)
 	b.probe(now)
 	b.trySites(now)
@@ -507,6 +443,7 @@
 		}
 		return
 	}
+	w.provedAt = w.probed
 	b.report(now, w, o.Report)
 	if w.retryAt > 0 && w.errors < 0.1 {
 		b.answered(w)
--- a/choice/judge.go
+++ b/choice/judge.go
@@ -103,6 +103,8 @@
 		return "its site is lost"
 	case !last && b.unanswered(now, w):
 		return "it was asked for its load and says nothing"
+	case b.doubted(now, w) && (b.s.MayProbe || !last):
+		return fmt.Sprintf("no word of discovery for %.3f s, nor sign of it", float64(now-max(b.toldAt, w.provedAt))/1e6)
 	case !last && w.fails > 0 && len(w.open) > 0:
 		return "on trial after a failure, with one attempt out"
 	}
@@ -114,8 +116,5 @@
 	if len(r.attempts) > 0 && !b.mayRepeat(now, r, w) {
 		return "the class does not allow a repeat there"
 	}
-	if !b.usable(now, w, r, last) {
-		return fmt.Sprintf("cold (warmth %.2f), and this gateway's share of what it may get is spent", b.warmth(now, w))
-	}
 	return ""
 }
--- a/choice/ledger.go
+++ b/choice/ledger.go
@@ -24,6 +24,9 @@
 	if in.Has&HasUtil != 0 && in.Has&HasInFlight != 0 && in.InFlight >= 1 && in.Util > 0 {
 		mean(&b.slotShare, in.Util/in.InFlight)
 	}
+	if in.Has&HasUtil != 0 && now >= w.coldUntil {
+		b.util += (math.Max(0, math.Min(1, in.Util)) - b.util) / 8
+	}
 	// What waits is held soon: prompts still to be read, requests in the queue.
 	switch {
 	case in.Has&HasUnread != 0:
@@ -70,7 +73,6 @@
 // startCold marks w as freshly started.
 func (b *Balancer) startCold(w *row, at Micros) {
 	w.coldFrom, w.coldUntil = at, at+b.s.ColdFor
-	w.coldSlot, w.coldSpent = 0, 0
 	w.fails, w.errors, w.retryAt = 0, 0, 0
 }
 
--- a/choice/reconfigure.go
+++ b/choice/reconfigure.go
@@ -88,7 +88,7 @@
 		return fmt.Errorf("choice: gateway %d of %d cannot become %d of %d", s.Self, s.Gateways, next.Self, next.Gateways)
 	case s.Zone != next.Zone:
 		return errors.New("choice: the zone cannot change")
-	case s.ReportVia != next.ReportVia || s.Weights != next.Weights || s.AskRegistry != next.AskRegistry || s.Tick != next.Tick || s.MayTellPeers != next.MayTellPeers:
+	case s.ReportVia != next.ReportVia || s.Weights != next.Weights || s.AskRegistry != next.AskRegistry || s.ListsPushed != next.ListsPushed || s.Tick != next.Tick || s.MayTellPeers != next.MayTellPeers:
 		return errors.New("choice: how the module hears of the fleet cannot change")
 	}
 	return nil
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -132,7 +132,7 @@
 			t.Fatal(err)
 		}
 		b.ListChanged(0, ServerList{Kind: ListFull, Members: members})
-		b.sendRate, b.chargeRate, b.meanCharge = perGateway, perGateway*5100, 5100
+		b.sendRate, b.meanCharge, b.meanWork = perGateway, 5100, 5100
 		nodes, recs = append(nodes, b), append(recs, rec)
 	}
 	begin := 100 * sec
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -109,6 +109,15 @@
 	return all[len(all)-1], true
 }
 
+// skip passes over fields of earlier builds.
+func (a *archive) skip(tags ...protowire.Number) {
+	for _, tag := range tags {
+		if !a.saving {
+			a.take(tag)
+		}
+	}
+}
+
 func (a *archive) uint(tag protowire.Number, v *uint64) {
 	if a.saving {
 		if *v != 0 {
@@ -287,7 +296,6 @@
 		a.float(protowire.Number(6+i), v)
 	}
 	whole(a, 15, &t.sessNext)
-	a.float(18, &t.slotShare)
 	// The ring has each remembered session once: the map's order and its own in one.
 	var at []int
 	if a.saving {
@@ -321,6 +329,9 @@
 		s.fixed(1, k)
 		s.float(2, v)
 	})
+	a.float(18, &t.slotShare)
+	whole(a, 19, &t.cold)
+	a.float(20, &t.util)
 }
 
 func (b *Balancer) archiveGuard(a *archive) {
@@ -330,9 +341,11 @@
 	a.bool(3, &g.watching)
 	whole(a, 4, &g.askAt)
 	whole(a, 5, &g.askBackoff)
-	for i, v := range []*float64{&g.sendRate, &g.chargeRate, &g.sentNow, &g.chargedNow, &g.serviceMs, &g.hedges,
+	for i, v := range []*float64{&g.sendRate, nil, &g.sentNow, nil, &g.serviceMs, &g.hedges,
 		&g.retries, &g.pace, &g.slowStreams, &g.late, &g.openLimit, &g.openFloor, &g.openMean, &g.worthPerToken} {
-		a.float(protowire.Number(6+i), v)
+		if v != nil {
+			a.float(protowire.Number(6+i), v)
+		}
 	}
 	a.bool(20, &g.told)
 	sorted(a, 21, &g.paceFloor, func(k *int, v *float64, s *archive) {
@@ -341,10 +354,9 @@
 	})
 	a.floats(22, &g.usage)
 	a.floats(23, &g.usedNow)
-	if !a.saving { // builds before 1.3 knew zones by failed connects in a row
-		a.take(24)
-		a.take(25)
-	}
+	// Builds before 1.3 knew zones by failed connects in a row; those before 1.4 counted what
+	// cold replicas were sent.
+	a.skip(7, 9, 24, 25)
 	sorted(a, 26, &g.sites.Places, func(k *int, v **site.Place, s *archive) {
 		if !s.saving {
 			*v = &site.Place{}
@@ -362,6 +374,10 @@
 		whole(s, 10, &p.LostAt)
 		whole(s, 11, &p.Misses)
 	})
+	whole(a, 27, &g.toldAt)
+	a.float(28, &g.meanWork)
+	a.float(29, &g.coldSeen)
+	a.float(30, &g.coldWon)
 	if !a.saving && (len(g.usage) != len(b.s.Tenants) || len(g.usedNow) != len(b.s.Tenants)) {
 		a.fail(fmt.Errorf("%d tenants, the settings have %d", len(g.usage), len(b.s.Tenants)))
 	}
@@ -521,7 +537,7 @@
 	whole(a, 12, &w.usedAt)
 	whole(a, 13, &w.slowAt)
 	for i, v := range []*float64{&w.ratio, &w.ratioN, &w.charge, &w.unseen, &w.slowNum, &w.slowDen, &w.slow, &w.live,
-		&w.errors, &w.coldSpent} {
+		&w.errors} {
 		a.float(protowire.Number(14+i), v)
 	}
 	whole(a, 24, &w.fails)
@@ -530,7 +546,8 @@
 	whole(a, 27, &w.probed)
 	whole(a, 28, &w.coldFrom)
 	whole(a, 29, &w.coldUntil)
-	whole(a, 30, &w.coldSlot)
+	whole(a, 31, &w.provedAt)
+	a.skip(23, 30) // what a cold one was sent, in builds before 1.4
 	w.hash = mix(uint64(w.id))
 }
 
--- a/choice/sparse_test.go
+++ b/choice/sparse_test.go
@@ -115,7 +115,7 @@
 		b.Start(100 * sec)
 		b.ListChanged(100*sec, ServerList{Kind: ListFull, Members: members})
 		b.meanHold, b.meanLoad, b.meanCharge = 1200, 9600, 5000
-		b.sendRate, b.chargeRate = 0.8, 4000
+		b.sendRate, b.meanWork = 0.8, 5000
 		// 0.8 requests a second, nine seconds; whatever is asked answers as loaded as all.
 		for now := 100*sec + Micros(self)*15_000; now < 109*sec; now += sec * 5 / 4 {
 			id++
--- a/choice/state.go
+++ b/choice/state.go
@@ -71,16 +71,20 @@
 	kinds  []kindStats
 
 	ready      int     // replicas listed as ready
+	cold       int     // those of them that are cold
 	meanLoad   float64 // mean of slowness x held tokens over fresh rows
 	shareRatio float64 // fleet mean of memory share a token
 	liveScale  float64 // tokens held for each unit of a live weight's load
 	lifetime   float64 // mean time from dispatch to end: how long a report says something
 	meanHold   float64 // mean tokens held for a request
+	util       float64 // how busy warm replicas say they are; 0: not told
 	slotShare  float64 // share of a worker's slots that a request takes, by reports; 0: not told
 	meanCharge float64 // mean charge of a dispatch
 	openTokens float64 // sum of hold tokens of all own attempts out
 
-	short [shortList]candidate // of the last pick
+	short  [shortList]candidate // of the last pick
+	asking bool                 // it may ask replicas for reports before it sends
+	noCold bool                 // it passes cold replicas by
 
 	sessions  map[uint64]session
 	sessRing  []uint64
@@ -132,11 +136,10 @@
 	slowNum, slowDen float64
 	slowAt           Micros
 
-	live      float64 // load by the last live weight
-	probed    Micros
-	coldFrom  Micros
-	coldSlot  Micros // the span that coldSpent counts in
-	coldSpent float64
+	live     float64 // load by the last live weight
+	probed   Micros
+	provedAt Micros // when it was last known to take work: a send that it took or a probe that it answered
+	coldFrom Micros
 }
 
 // candidate is a row as a pick weighed it.
@@ -159,10 +162,12 @@
 	watching   bool
 	askAt      Micros // when to ask the registry again; 0: not due
 	askBackoff Micros
+	toldAt     Micros // up to when discovery's word is known
 
-	sendRate, chargeRate float64 // own dispatches and charges a second
-	sentNow, chargedNow  float64
-	serviceMs            float64
+	sendRate, sentNow float64 // own dispatches a second
+	meanWork          float64 // mean of what a request takes where nothing is kept
+	coldSeen, coldWon float64 // attempts while replicas were cold, and those for cold ones, fading
+	serviceMs         float64
 
 	hedges, retries float64         // what is left of the budgets
 	pace            float64         // median of first-token times less reading and the least seen
--- a/choice/table.go
+++ b/choice/table.go
@@ -99,12 +99,35 @@
 	b.openTokens += a.hold
 	mean(&b.meanHold, a.hold)
 	mean(&b.meanCharge, c)
-	b.noteSent(now, w, c)
+	b.noteSent(now, w)
 }
 
-// pick scans all rows for the least predicted load and tells how many prompt
-// tokens are expected to be kept there, or that r is to wait for reports.
-func (b *Balancer) pick(now Micros, r *request) (best *row, bestKept float64, wait bool) {
+// pick chooses a replica for r and tells how many prompt tokens are expected to be kept
+// there, or that r is to wait for reports.
+func (b *Balancer) pick(now Micros, r *request) (best *row, kept float64, wait bool) {
+	b.asking, b.noCold = b.sparse() && len(r.attempts) == 0 && now == r.arrived && r.deadline-now >= 8*askWait, false
+	b.scan(now, r)
+	if b.inquire(now, r) {
+		b.weighed = b.weighed[:0]
+		return nil, 0, true
+	}
+	if best := b.short[0].row; b.asking && best != nil && b.doubted(now, best) { // nor can it be asked now
+		b.asking, b.weighed = false, b.weighed[:0]
+		b.scan(now, r)
+	}
+	if w := b.short[0].row; b.noteCold(now, w) && !b.coldAllows(now, w, r) {
+		b.noCold, b.weighed = true, b.weighed[:0]
+		b.scan(now, r)
+	}
+	best, kept = b.short[0].row, b.short[0].kept
+	if b.judge != nil {
+		best, kept = b.judged(r, best, kept)
+	}
+	return best, kept, false
+}
+
+// scan goes over all rows for those of the least predicted load: the short list.
+func (b *Balancer) scan(now Micros, r *request) {
 	home, second, holder, holderTokens := b.holders(r)
 	hold := b.holdTokens(r)
 	prompt := float64(r.PromptTokens)
@@ -188,15 +211,6 @@
 		}
 		b.shorten(candidate{w, score, kept})
 	}
-	best, bestKept = b.short[0].row, b.short[0].kept
-	if b.inquire(now, r) {
-		b.weighed = b.weighed[:0]
-		return nil, 0, true
-	}
-	if b.judge != nil {
-		best, bestKept = b.judged(r, best, bestKept)
-	}
-	return best, bestKept, false
 }
 
 // readWeight is what a prompt token that must be read weighs, in held tokens: the time that
@@ -215,7 +229,7 @@
 	return b.s.Gateways > sparseFrom && b.s.MayProbe && b.s.ReportVia != ReportNone
 }
 
-// wildcard puts a worker drawn by chance in the last place of the short list: of one
+// wildcard puts a replica drawn by chance in the last place of the short list: of one
 // that no reckoning favours, as of one that is new, nothing would ever be heard.
 func (b *Balancer) wildcard(now Micros, r *request) {
 	n := len(b.rows)
@@ -231,18 +245,16 @@
 // inquire asks the workers on the short list for reports where theirs are old, when r
 // has just come, and tells whether r is to wait for answers that are out.
 func (b *Balancer) inquire(now Micros, r *request) (wait bool) {
-	if !b.sparse() || len(r.attempts) > 0 || now >= r.arrived+askWait || r.deadline-now < 8*askWait {
-		return false
-	}
-	if now > r.arrived {
-		return slices.ContainsFunc(b.rows, func(w *row) bool { return w.probing && w.probed == r.arrived })
+	if !b.asking {
+		return b.sparse() && len(r.attempts) == 0 && now > r.arrived && now < r.arrived+askWait &&
+			slices.ContainsFunc(b.rows, func(w *row) bool { return w.probing && w.probed == r.arrived })
 	}
 	b.wildcard(now, r)
 	for _, c := range b.short {
 		if c.row == nil {
 			break
 		}
-		if !c.row.probing && (c.row.reportAt < 0 || now-c.row.reportAt > askOlder) {
+		if !c.row.probing && (c.row.reportAt < 0 || now-c.row.reportAt > askOlder || b.doubted(now, c.row)) {
 			c.row.probing, c.row.probed = true, now
 			b.out.Probe(c.row.id)
 		}
@@ -341,7 +353,7 @@
 		k.slowNum, k.slowDen = k.slowNum*0.99, k.slowDen*0.99
 	}
 	b.weighKinds()
-	b.ready = 0
+	b.ready, b.cold = 0, 0
 	load, weight, size, sized := 0.0, 0.0, 0.0, 0.0
 	for _, w := range b.rows {
 		if w.size > 0 {
@@ -353,6 +365,7 @@
 			continue
 		}
 		b.ready++
+		b.cold += int(one(now < w.coldUntil))
 		const prior = 6 // observations before a replica's own slowness outweighs its kind's
 		keep := math.Max(0, 1-float64(now-w.slowAt)/float64(slowFades))
 		w.slow = b.kinds[w.kind].slow
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -231,23 +231,33 @@
 	l.list(e.list, kind)
 }
 
-type listFailed struct{ err error }
+type listFailed struct {
+	err       error
+	unreached bool // discovery was not there at all
+}
 
 func (e listFailed) apply(l *loop) {
 	slog.Info("registry_failed", "err", e.err)
-	l.m.ListChanged(l.now, choice.ServerList{Kind: choice.ListFailed})
+	kind := choice.ListFailed
+	if e.unreached {
+		kind = choice.ListUnreached
+	}
+	l.m.ListChanged(l.now, choice.ServerList{Kind: kind})
 }
 
 func (l *loop) list(in socket.List, kind choice.ListKind) {
-	l.take(in, kind)
+	l.take(in, kind, false)
 	l.told = l.told || kind != choice.ListSaved
 	l.setReady()
 }
 
-// take enters a list, or what marks change about it.
-func (l *loop) take(in socket.List, kind choice.ListKind) {
+// take enters a list, or what this gateway's own marks change about it.
+func (l *loop) take(in socket.List, kind choice.ListKind, own bool) {
 	in = l.marked(in, kind)
 	out, left := l.registry.Apply(in, kind, l.g.clock.since)
+	if own {
+		out.Kind = choice.ListOwn
+	}
 	for _, key := range left {
 		l.g.pool.CloseIdle(key)
 	}
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -192,6 +192,6 @@
 		}
 	}
 	if len(change.Instances) > 0 {
-		l.take(change, choice.ListDelta)
+		l.take(change, choice.ListDelta, true)
 	}
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -58,6 +58,9 @@
 	return resp, body, nil
 }
 
+// refused is how soon a call that meets nobody ends.
+const refused = 500 * time.Millisecond
+
 // watch follows the registry whenever the module orders it to, until a call
 // fails: then the module says when to begin again. A move begins again at once
 // at the new address, and ends the call that waits at the old one.
@@ -90,7 +93,9 @@
 				continue
 			}
 			if err != nil {
-				g.loop.post(ctx, listFailed{err})
+				// Where there is nobody, that shows at once; who took the call or kept it waiting
+				// may have had news.
+				g.loop.post(ctx, listFailed{err, errors.Is(err, errConnect) && time.Since(begun) < refused})
 				break
 			}
 			silent, version = false, list.Generation
--- a/internal/incident/watch.go
+++ b/internal/incident/watch.go
@@ -107,10 +107,10 @@
 
 // Listed takes news of the fleet.
 func (w *Watch) Listed(now choice.Micros, l choice.ServerList) {
-	if l.Kind == choice.ListFailed {
+	if l.Kind.Failed() {
 		return
 	}
-	if l.Kind != choice.ListDelta {
+	if l.Kind.Whole() {
 		for _, k := range w.workers {
 			k.state = choice.MemberGone
 		}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -218,14 +218,30 @@
 	o.Stall = 4 * time.Second
 	o.ProbeTimeout = 250 * time.Millisecond
 	o.AskWithin = time.Duration(extra.Rules.AskWithinUs) * time.Microsecond
-	// Longer than the registry has calls wait for their turn: a caller that leaves
-	// its queue earlier has wasted the turn and waits anew.
-	o.CallTimeout = min(2500*time.Millisecond, o.AskWithin/2)
-	o.WatchWait = min(8*time.Second, o.AskWithin-o.CallTimeout)
+	o.WatchWait, o.CallTimeout = waits(&o.Settings, o.AskWithin)
+	o.Settings.WatchWait = o.WatchWait.Microseconds()
 	o.DrainAccept = drainAccept
 	return c, nil
 }
 
+// waits is how long discovery may hold a call for news, and how much longer its answer may
+// take. A watch that has fallen silent is noticed after both together.
+func waits(s *choice.Settings, askWithin time.Duration) (wait, answer time.Duration) {
+	if s.ListsPushed { // the agent is on this machine and its answers cost nothing
+		return time.Second, 500 * time.Millisecond
+	}
+	// Longer than discovery has calls wait for their turn: a caller that leaves its queue
+	// earlier has wasted the turn and waits anew.
+	answer = min(2500*time.Millisecond, askWithin/2)
+	// Few gateways ask often, so that whatever becomes of one call the next is answered within
+	// the protocol's 6 s; of many, the calls would be too many.
+	wait = time.Duration(s.Gateways) * eachWatch
+	return min(max(leastWatch, wait), askWithin-answer, 8*time.Second), answer
+}
+
+// eachWatch keeps the calls of all gateways' watches to four a second, where the bounds allow.
+const eachWatch, leastWatch = 250 * time.Millisecond, time.Second
+
 func limit(key string, given *float64, otherwise, least float64) (float64, error) {
 	if given == nil {
 		return otherwise, nil
@@ -285,7 +301,7 @@
 	// limits.retryAfter binds the simulator's wire; on sockets the protocol
 	// allows the header, and clients are to be told when to come back.
 	s.RetryAfter = s.MaxRetryAfter > 0
-	// On sockets the registry speaks only when asked.
+	// On sockets discovery speaks only when asked, be it itself or its agent on this machine.
 	s.AskRegistry = true
 	// Gateways have no way to talk to each other here.
 	s.MayTellPeers = false
--- a/internal/replay/perturb.go
+++ b/internal/replay/perturb.go
@@ -244,7 +244,7 @@
 		return nil
 	case pb.Kind_KIND_LIST:
 		l := rec.List
-		if l.Kind != uint32(choice.ListFailed) && l.Kind != uint32(choice.ListDelta) {
+		if choice.ListKind(l.Kind).Whole() {
 			for id := range w.workers {
 				w.workers[id] = choice.MemberGone
 			}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -123,6 +123,7 @@
 	if s.AskRegistry, err = oneOf("discovery", in.Discovery, discoveryWords); err != nil {
 		return s, err
 	}
+	s.ListsPushed = in.Discovery == "pushed"
 	for i, c := range in.RequestClasses {
 		out := choice.Class{Name: c.Name, Aim: c.TargetUs, Deadline: c.DeadlineUs, Worth: c.Points,
 			LateWorth: c.LateShare, RepeatsKept: c.MemorySpanUs, Stream: c.Streamed}
