A session's second home is on another kind of machines, alike at all gateways

Two in three homes are on the older machines, which read a quarter as fast; half of all answers then come from fast replicas that are neither home nor second home, each turn of a session at another one: found kept 0.30 to 0.45 there, 0.85 to 0.95 with the holder. Ruled out: memory (10 to 20% held), admission alone (the same load was served at first), too little reading (60% of what the machines can read at the burst if half is kept). Lines at fault: holders, whose second home is the next by rendezvous whatever its kind.

Change: the second home is the first by rendezvous on a kind other than the home's, where there is one, and half of the session's own text is expected there as at the home (a quarter before).

--- a/choice/reading_test.go
+++ b/choice/reading_test.go
@@ -100,3 +100,46 @@
 		t.Errorf("out of bounds: old %v, new %v", first("old"), first("new"))
 	}
 }
+
+// What leaves a session's home for machines of another kind goes to one and the same of them
+// from all gateways: turn after turn at another one found nothing kept there.
+func TestSecondHomeIsOfAnotherKind(t *testing.T) {
+	members := fleet(40)
+	for i := range members {
+		if i%4 == 0 {
+			members[i].Kind = "fast"
+		}
+	}
+	var all []*Balancer
+	for self := range 3 {
+		s := eighty()
+		s.Self, s.Kinds = self, []string{"k", "fast"}
+		b, _ := start(t, s, members...)
+		all = append(all, b)
+	}
+	spread := map[ReplicaID]int{}
+	for session := range uint64(400) {
+		r := &request{Request: req(1)}
+		r.Session = session + 1
+		home, second, _, _ := all[0].holders(r)
+		if home.kind == second.kind {
+			t.Fatalf("session %d: both homes are of one kind", session)
+		}
+		for _, b := range all[1:] {
+			if h, s, _, _ := b.holders(r); h.id != home.id || s.id != second.id {
+				t.Fatalf("session %d: homes %d and %d, elsewhere %d and %d", session, home.id, second.id, h.id, s.id)
+			}
+		}
+		if second.id%4 == 1 {
+			spread[second.id]++
+		}
+	}
+	for id, n := range spread { // about 300 sessions over the ten fast ones
+		if n > 60 {
+			t.Errorf("%d sessions have their second home at %d", n, id)
+		}
+	}
+	if len(spread) != 10 {
+		t.Errorf("%d of ten fast replicas are second homes", len(spread))
+	}
+}
--- a/choice/snapshot_test.go
+++ b/choice/snapshot_test.go
@@ -80,7 +80,7 @@
 
 // derived are fields that are made anew from the settings or from others.
 var derived = map[string]bool{"Balancer.s": true, "Balancer.out": true, "Balancer.class": true, "Balancer.ten": true,
-	"Balancer.judge": true, "Balancer.weighed": true, "table.short": true, "table.asking": true, "table.hashes": true, "Balancer.terms": true, "row.hash": true, "table.noCold": true}
+	"Balancer.judge": true, "Balancer.weighed": true, "table.short": true, "table.asking": true, "table.hashes": true, "Balancer.terms": true, "row.hash": true, "table.noCold": true, "table.ofKind": true}
 
 // A field of the state that the snapshot leaves out makes a replay from a
 // checkpoint go astray: each is changed by itself, and must change the bytes.
@@ -177,7 +177,7 @@
 		t.Fatal(err)
 	}
 	if diff := cmp.Diff(b, got, cmp.AllowUnexported(Balancer{}, table{}, guard{}, row{}, request{}, terms{}, attempt{}, session{},
-		classStats{}, kindStats{}, linearFit{}), cmpopts.IgnoreFields(Balancer{}, "out", "judge", "weighed"), cmpopts.IgnoreFields(table{}, "short"), cmpopts.EquateEmpty()); diff != "" {
+		classStats{}, kindStats{}, linearFit{}), cmpopts.IgnoreFields(Balancer{}, "out", "judge", "weighed"), cmpopts.IgnoreFields(table{}, "short", "ofKind"), cmpopts.EquateEmpty()); diff != "" {
 		t.Fatal(diff)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -83,6 +83,7 @@
 	openTokens float64 // sum of hold tokens of all own attempts out
 
 	short  [shortList]candidate // of the last pick
+	ofKind []candidate          // first homes by kind, as of the last look
 	asking bool                 // it may ask replicas for reports before it sends
 	noCold bool                 // it passes cold replicas by
 
--- a/choice/table.go
+++ b/choice/table.go
@@ -164,7 +164,7 @@
 		} else if w == home && holder == nil && r.Session != 0 {
 			kept = prefix + (prompt-prefix)/2
 		} else if sparse && w == second && holder == nil && r.Session != 0 {
-			kept = prefix + (prompt-prefix)/4
+			kept = prefix + (prompt-prefix)/2
 		}
 		kept *= trust
 		// A report fades with age: old, the row says no more than that peers
@@ -312,6 +312,11 @@
 	khash, phash := mix(key), mix(r.Prefix)
 	threshold := b.prefixThreshold(r)
 	best, next := math.Inf(1), math.Inf(1)
+	ofKind := b.ofKind[:0] // the first home on each kind of machines
+	for range b.kinds {
+		ofKind = append(ofKind, candidate{score: math.Inf(1)})
+	}
+	b.ofKind = ofKind
 	enter := func(w *row, over float64) {
 		score := -math.Log(unit(mix(khash^w.hash))+1e-18)*b.kinds[w.kind].share + over
 		if score < best {
@@ -320,6 +325,9 @@
 		} else if score < next {
 			second, next = w, score
 		}
+		if score < ofKind[w.kind].score {
+			ofKind[w.kind] = candidate{row: w, score: score}
+		}
 	}
 	for i, hash := range b.hashes {
 		if threshold >= 1 || unit(mix(phash^hash)) < threshold {
@@ -329,14 +337,27 @@
 		}
 	}
 	if second != nil {
-		return home, second, holder, tokens
+		return home, b.otherKind(home, second), holder, tokens
 	}
 	for _, w := range b.rows { // no homes of the prefix: only if there are none at all
 		if u := unit(mix(phash ^ w.hash)); w.state == MemberReady && threshold < 1 && u >= threshold {
 			enter(w, 1e6*(1+u))
 		}
 	}
-	return home, second, holder, tokens
+	return home, b.otherKind(home, second), holder, tokens
+}
+
+// otherKind is the second home: the first on another kind of machines than home's, if there is
+// one. What leaves its home leaves it most often for machines that read faster or are less
+// loaded as a kind, from all gateways; each turn at another one of these found nothing kept.
+func (b *Balancer) otherKind(home, second *row) *row {
+	best := math.Inf(1)
+	for _, c := range b.ofKind {
+		if c.row != nil && c.row.kind != home.kind && c.score < best {
+			best, second = c.score, c.row
+		}
+	}
+	return second
 }
 
 // standsOut is how many times slower than its kind a replica must seem to be
