--- a/choice/guard.go
+++ b/choice/guard.go
@@ -20,7 +20,7 @@
 	coldCare = 0.45
 	// coldPrior is how many attempts are taken to have wanted cold replicas before any was
 	// seen, and coldFades over how many seconds what was seen fades.
-	coldPrior, coldFades = 2.0, 4.0
+	coldPrior, coldFades = 1.0, 4.0
 	// leastUtil bounds what reports of how busy warm replicas are may tell of their room.
 	leastUtil = 0.5
 	// lateMost is the share of late requests from which less is admitted, and
