--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -50,9 +50,8 @@
 		}
 		var endings []ending
 		lastTick, id := 100*sec, RequestID(0)
-		mean := float64(f.gateways) // between two requests, in seconds
 		for at := 100.0; ; {
-			at += rnd.ExpFloat64() * mean / f.rate * total / weights[self] / mean
+			at += rnd.ExpFloat64() * total / weights[self] / f.rate
 			now := Micros(at * 1e6)
 			for ; lastTick < now; lastTick += tickEvery {
 				b.tick(lastTick)
--- a/choice/discovery_test.go
+++ b/choice/discovery_test.go
@@ -32,15 +32,7 @@
 		down, each Micros
 	}{{3, 8 * sec, sec / 10}, {20, 6 * sec, sec / 10}, {30, 0, sec / 5}, {80, 0, sec / 10}, {300, 0, sec / 40}, {300, 5 * sec, sec / 150}} {
 		d := slowDiscovery{upAt: 100*sec + c.down, each: c.each}
-		var all []*asker
-		for i := range c.gateways {
-			s := eighty()
-			s.AskRegistry, s.WatchWait, s.Gateways, s.Self = true, 2*sec, c.gateways, i
-			g := &asker{rec: &recorder{}}
-			g.b, _ = New(s, uint64(i+1), g.rec)
-			g.b.Start(100 * sec)
-			all = append(all, g)
-		}
+		all := askers(c.gateways, 100*sec)
 		told := d.until(all, 100*sec, 130*sec)
 		if len(told) < c.gateways {
 			t.Errorf("%+v: only %d have the list", c, len(told))
@@ -63,6 +55,19 @@
 	told bool
 }
 
+// askers are all gateways of a fleet, started at a time without a list.
+func askers(gateways int, at Micros) (all []*asker) {
+	for i := range gateways {
+		s := eighty()
+		s.AskRegistry, s.WatchWait, s.Gateways, s.Self = true, 2*sec, gateways, i
+		g := &asker{rec: &recorder{}}
+		g.b, _ = New(s, uint64(i+1), g.rec)
+		g.b.Start(at)
+		all = append(all, g)
+	}
+	return all
+}
+
 // until has gateways ask between two times, and tells when each has its first list.
 func (d *slowDiscovery) until(all []*asker, from, to Micros) (told []Micros) {
 	for now := from; now < to && len(told) < len(all); now += tickEvery / 5 {
@@ -101,17 +106,11 @@
 		t.Run(fmt.Sprint(c.gateways), func(t *testing.T) {
 			const down, up = 100 * sec, 108 * sec
 			d := slowDiscovery{upAt: up, each: c.each}
-			var all []*asker
-			for i := range c.gateways {
-				s := eighty()
-				s.AskRegistry, s.WatchWait, s.Gateways, s.Self = true, 2*sec, c.gateways, i
-				g := &asker{rec: &recorder{}}
-				g.b, _ = New(s, uint64(i+1), g.rec)
-				g.b.Start(90 * sec)
+			all := askers(c.gateways, 90*sec)
+			for _, g := range all {
 				g.b.ListChanged(90*sec, ServerList{Kind: ListFull, Members: fleet(2)})
 				g.b.ListChanged(down, ServerList{Kind: ListFailed}) // its watch was reset
 				g.rec.acts = nil
-				all = append(all, g)
 			}
 			after := d.until(all, down, up+60*sec)
 			for i := range after {
