A pick refused at a cold replica passes doubted ones by; one way to order a probe

Found on reading over: pick scanned again after a cold replica did not let the attempt in, while b.asking, which lets doubted replicas into the list of those to ask, was still on: the attempt could go to a replica of an old list that gave no sign. asking now ends where r is to be sent. Test: TestNoDoubtedReplicaInAColdOnesPlace, fails without it.

--- a/choice/discovery.go
+++ b/choice/discovery.go
@@ -123,8 +123,7 @@
 	}
 	for _, w := range b.rows {
 		if w.state == MemberReady && !w.probing && now-w.provedAt >= toldWithin-proveAhead && now-w.probed >= proveEach {
-			w.probing, w.probed = true, now
-			b.out.Probe(w.id)
+			b.ask(now, w)
 		}
 	}
 }
--- a/choice/discovery_test.go
+++ b/choice/discovery_test.go
@@ -188,6 +188,38 @@
 	}
 }
 
+// An attempt that a cold replica does not let in goes to none that is doubted either, also where
+// its request has just come and asks about replicas.
+func TestNoDoubtedReplicaInAColdOnesPlace(t *testing.T) {
+	s := eighty()
+	s.AskRegistry, s.WatchWait = true, 2*sec
+	members := fleet(4)
+	for i := range 3 { // the fourth is long up, and doubted
+		members[i].Since = 105 * sec
+	}
+	for seed := range RequestID(40) {
+		b, rec := start(t, s, members...)
+		b.refresh(107 * sec)
+		b.coldWon, b.coldSeen = 1e6, 1e6
+		for _, w := range b.rows {
+			w.reportAt = 107 * sec // nobody is asked: all reports are fresh
+		}
+		for _, w := range b.rows[:3] {
+			w.provedAt = 106 * sec
+		}
+		b.rows[3].probing, b.rows[3].probed = true, 106*sec+900_000 // nor can the fourth be
+		b.rows[3].held, b.rows[3].retryAt = 1e9, 0
+		rec.acts = nil
+		b.rng = uint64(seed)*2 + 1
+		b.RequestArrived(107*sec, req(seed+1))
+		for _, a := range rec.take("dispatch") {
+			if a.to == 4 {
+				t.Fatal("sent to a replica of an old list that gave no sign")
+			}
+		}
+	}
+}
+
 // An agent on this machine is asked at once again, however many gateways there are. The
 // operators' own marks are no word of discovery: it goes on being asked.
 func TestWhenDiscoveryIsAskedAgain(t *testing.T) {
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -394,8 +394,7 @@
 			}
 		}
 		if age >= due {
-			w.probing, w.probed = true, now
-			b.out.Probe(w.id)
+			b.ask(now, w)
 		}
 	}
 }
--- a/choice/sites.go
+++ b/choice/sites.go
@@ -69,6 +69,12 @@
 	return n
 }
 
+// ask probes w.
+func (b *Balancer) ask(now Micros, w *row) {
+	w.probing, w.probed = true, now
+	b.out.Probe(w.id)
+}
+
 // askSite probes some workers of a zone, from one drawn by chance on.
 func (b *Balancer) askSite(now Micros, zone, most int) {
 	if !b.s.MayProbe {
@@ -77,8 +83,7 @@
 	n := len(b.rows)
 	for i, k := 0, int(b.random()*float64(n)); i < n && most > 0; i++ {
 		if w := b.rows[(k+i)%n]; w.zone == zone && w.state == MemberReady && !w.probing {
-			w.probing, w.probed = true, now
-			b.out.Probe(w.id)
+			b.ask(now, w)
 			most--
 		}
 	}
--- a/choice/table.go
+++ b/choice/table.go
@@ -111,8 +111,10 @@
 		b.weighed = b.weighed[:0]
 		return nil, 0, true
 	}
-	if best := b.short[0].row; b.asking && best != nil && b.doubted(now, best) { // nor can it be asked now
-		b.asking, b.weighed = false, b.weighed[:0]
+	asked := b.asking
+	b.asking = false                                                          // from here on r is sent, and to none that is doubted
+	if best := b.short[0].row; asked && best != nil && b.doubted(now, best) { // nor can it be asked now
+		b.weighed = b.weighed[:0]
 		b.scan(now, r)
 	}
 	if w := b.short[0].row; b.noteCold(now, w) && !b.coldAllows(now, w, r) {
@@ -255,8 +257,7 @@
 			break
 		}
 		if !c.row.probing && (c.row.reportAt < 0 || now-c.row.reportAt > askOlder || b.doubted(now, c.row)) {
-			c.row.probing, c.row.probed = true, now
-			b.out.Probe(c.row.id)
+			b.ask(now, c.row)
 		}
 		wait = wait || c.row.probing && c.row.probed == now
 	}
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -120,16 +120,8 @@
 
 // ended tells whether the other side's end has come, read or not.
 func ended(c net.Conn) (yes bool) {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	_ = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	_ = onDescriptor(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		yes = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE ||
 			info.State == unix.BPF_TCP_LAST_ACK || info.State == unix.BPF_TCP_CLOSING)
 	})
@@ -138,20 +130,25 @@
 
 // peek looks at what can be read from a connection now: EAGAIN says nothing.
 func peek(c net.Conn) (n int, err error) {
+	gone := onDescriptor(c, func(fd int) {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n, cmp.Or(gone, err)
+}
+
+// onDescriptor calls f with a connection's descriptor; one that has none says nothing, as EAGAIN.
+func onDescriptor(c net.Conn, f func(fd int)) error {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return 0, syscall.EAGAIN
+		return syscall.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0, err
+		return err
 	}
 	// Control, for Read would wait for whoever is reading.
-	gone := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, cmp.Or(gone, err)
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
 }
 
 // reserve makes room for a new connection, if need be by closing the one that
