The books' record in its test waits for the disk: a busy machine lost some of it

Cause: the recorder's queue of 8 blocks drops what a busy writer does not take (that is its design in service), so the record was short. Ruled out: answers (107 served, 13 by contract each time), several runs of the capture (one). The test is about what a record holds, not about loss: it uses the writer's Wait. Seen beside it, not mended: what is lost at a record's very end is not told as a gap.

--- a/internal/gateway/books_test.go
+++ b/internal/gateway/books_test.go
@@ -50,6 +50,7 @@
 	g := start(t, func(o *Options) {
 		o.Capture, o.Contracts, o.Ledger = captureTo(dir), c, store
 		o.Capture.Recorder.Checkpoint = 3 * time.Millisecond
+		o.Capture.Writer.Wait = true // a busy machine loses nothing of it
 	}, w1, w2)
 	refused := 0
 	for i := range 120 {
