A client's connection has one owner: its end or a request's bytes, one wins, also in a drain

Closing of idle connections and shutdown judged first and acted later. Lines at fault: clients.go closeOne looked at first and the socket's queue, then closed in a later step; clientConn.busy was set only once the handler ran, so a request read whole could be closed under; gateway.go Drain left the closing to net/http (SetKeepAlivesEnabled, Shutdown), which closes connections under a head that is being read, drops requests read after Shutdown, and drops what was sent ahead; a resting connection's time ran on under a request's first bytes (Peek of 4 in net/http); a close over unread bytes reset the connection and took the end of an answer along; serve, full and termsOf loaded the version anew. Change: bytes are read under the connection's lock, or stay unread; end, giveWay and the idle time take the same lock and look at the queue under it. A connection that has ended hands up nothing more. Only its own task closes it, lingering for 0.5 s at most (a quarter of all connections at most, first to give way) where something was just written. Drain tells Connection: close with each answer, but where more has been read, ends what rests, closes the listener, and waits. A request has one version of the settings from its head on. An empty line behind a request begins none: its time ran from it before.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -29,11 +29,12 @@
 func (g *Gateway) newServer() *http.Server {
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		conn := g.clients.of(r.Context())
+		w = &answer{ResponseWriter: w, conn: conn}
 		// It stands until the whole request has come: for one that is turned
 		// away, the server reads on for a while, and would wait for ever.
 		_ = http.NewResponseController(w).SetReadDeadline(conn.began().Add(requestTimeout))
 		switch post := r.Method == http.MethodPost; {
-		case conn.hiding.Load():
+		case conn.hiding():
 			g.turnAway(w, unframed)
 		case r.URL.Path == socket.JobPath && post:
 			g.serve(w, r)
@@ -50,6 +51,31 @@
 		ErrorLog: log.New(&logWriter{}, "", 0)}
 }
 
+// answer is the way to a client. In a drain each answer tells that it is the connection's last,
+// unless something of a further request has been read, which is owed one too.
+type answer struct {
+	http.ResponseWriter
+	conn   *clientConn
+	headed bool
+}
+
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+func (a *answer) WriteHeader(status int) {
+	if a.conn.clients.draining.Load() && !a.conn.ahead() {
+		a.Header().Set("Connection", "close")
+	}
+	a.headed = true
+	a.ResponseWriter.WriteHeader(status)
+}
+
+func (a *answer) Write(p []byte) (int, error) {
+	if !a.headed {
+		a.WriteHeader(http.StatusOK)
+	}
+	return a.ResponseWriter.Write(p)
+}
+
 // logWriter gives the server's own messages the form of the log.
 type logWriter struct{ rare rare }
 
@@ -80,7 +106,7 @@
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.ready.Load() || g.draining.Load() {
+	if !g.ready.Load() || g.clients.draining.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -89,32 +115,35 @@
 
 // serve is the life of one request, from its head to its answer's last byte.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	conn := g.clients.of(r.Context())
-	sentAt := conn.sentAt() // the deadline runs from the client's sending
+	conn, live := g.clients.of(r.Context()), g.live.Load() // one version for the whole of its life
+	sentAt := conn.sentAt()                                // the deadline runs from the client's sending
 	// All that the head tells is checked first: what cannot be served takes up
 	// neither memory nor a worker. A worker turns such a request away as an
 	// error, and errors count against it.
 	job, err := socket.ReadJob(r.Header)
 	if err == nil {
-		err = g.checkClass(&job)
+		err = live.checkClass(&job)
 	}
 	if err != nil {
 		g.turnAway(w, &problem{http.StatusBadRequest, err.Error()})
 		return
 	}
 	body, problem := g.readBody(w, r)
+	if problem == noRoom {
+		g.rareFull.log("bodies_full", "bytes", g.clients.bytes.Load())
+		full(w, live)
+		return
+	}
 	if problem != nil {
 		g.turnAway(w, problem)
 		return
 	}
 	defer g.clients.free(int64(len(body)))
-	conn.busy.Store(true)
-	if conn.hiding.Load() { // seen in what came behind the head
+	if conn.hiding() { // seen in what came behind the head
 		g.turnAway(w, unframed)
 		return
 	}
 	job.BodyLen(len(body))
-	live := g.live.Load()
 	if conn.over || !g.clients.enter(job.ID, live.mostHeld) {
 		if g.clients.open(job.ID) {
 			// A second copy of what is out: the worker would run it twice.
@@ -122,12 +151,12 @@
 			return
 		}
 		g.rareFull.log("full", "id", job.ID, "held", g.clients.held())
-		g.full(w)
+		full(w, live)
 		return
 	}
 	defer g.clients.leave(job.ID)
 
-	hand, problem := g.takeUp(r, &job, sentAt)
+	hand, problem := g.takeUp(r, &job, sentAt, live)
 	if problem != nil {
 		g.turnAway(w, problem)
 		return
@@ -233,8 +262,8 @@
 
 // checkClass turns away classes that the settings do not name, and gives the
 // class's deadline to a request that tells none.
-func (g *Gateway) checkClass(job *socket.Job) error {
-	for _, c := range g.live.Load().classes {
+func (v *live) checkClass(job *socket.Job) error {
+	for _, c := range v.classes {
 		if c.Name == job.Request.Class {
 			job.Wait = cmp.Or(job.Wait, c.Deadline)
 			return nil
@@ -245,10 +274,10 @@
 
 // full answers where a limit of the gateway's own is reached, of which the
 // module knows nothing.
-func (g *Gateway) full(w http.ResponseWriter) {
+func full(w http.ResponseWriter, v *live) {
 	const retryAfter choice.Micros = 500_000
 	w.Header().Set("Connection", "close")
-	overload(w, min(retryAfter, g.live.Load().maxRetryAfter))
+	overload(w, min(retryAfter, v.maxRetryAfter))
 }
 
 // problem is a request that is not taken on.
@@ -269,11 +298,6 @@
 // turnAway answers what is not taken on, and closes the connection: who goes on
 // sending such requests has to connect for each.
 func (g *Gateway) turnAway(w http.ResponseWriter, p *problem) {
-	if p == noRoom {
-		g.rareFull.log("bodies_full", "bytes", g.clients.bytes.Load())
-		g.full(w)
-		return
-	}
 	g.rareAway.log("turned_away", "status", p.status, "reason", p.text)
 	w.Header().Set("Connection", "close")
 	http.Error(w, p.text, p.status)
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"archknot/choice"
@@ -21,6 +28,9 @@
 	spare int          // and so many past them
 	bytes atomic.Int64 // of bodies held
 
+	draining  atomic.Bool
+	lingering atomic.Int64 // connections that are being closed
+
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
 	ids   map[string]struct{} // requests in hand
@@ -73,52 +83,210 @@
 
 func (c *clients) free(n int64) { c.bytes.Add(-n) }
 
-// clientConn notes when a request's first byte came: the server's handler
-// starts later, after a wait for the core.
+// clientConn is one connection of a client. The server's task reads and closes it; whoever else
+// wants it to end, a drain or the limit of connections, asks. Under mu the one or the other wins:
+// bytes of a request that have come, read or not, or the end. On a connection that has ended no
+// further byte is read, so that its client may send a request that crossed the end elsewhere.
 type clientConn struct {
 	net.Conn
+	raw     syscall.RawConn
 	clients *clients
 	over    bool         // accepted past the limit
-	first   atomic.Int64 // when a request's first byte came; 0: none is coming
-	quiet   atomic.Int64 // since when none has been, or was before first
-	used    atomic.Bool  // a request has been answered on it
-	busy    atomic.Bool  // a request has come whole
-	served  int          // requests answered; only the server's task has it
+	wrote   atomic.Int64 // when something was last written
 	closed  sync.Once
-	framing socket.Framing // of all that was read; only Read writes to it
-	hiding  atomic.Bool    // the framing has a doubt: nothing more is taken from it
+
+	mu      sync.Mutex
+	ended   bool           // no further byte is read
+	left    bool           // the client's end has been read
+	linger  bool           // it is being closed, and its client may still read
+	used    bool           // a request has been answered on it
+	first   choice.Micros  // when a request's first byte was read: the server's handler starts later; 0: none is coming
+	quiet   choice.Micros  // since when none has been, or was before first
+	served  int            // requests answered
+	framing socket.Framing // of all that was read
+}
+
+func newClientConn(nc net.Conn, c *clients) (*clientConn, error) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("%T has no descriptor", nc)
+	}
+	raw, err := sc.SyscallConn()
+	return &clientConn{Conn: nc, raw: raw, clients: c, quiet: c.clock.now()}, err
+}
+
+// Read reads under mu: the bytes are the server's, or they stay unread.
+func (c *clientConn) Read(p []byte) (n int, err error) {
+	done := false
+	wait := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n, err, done = c.take(int(fd), p)
+		return done
+	})
+	if done {
+		return n, err
+	}
+	// Its time is over, or it was closed.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended && c.first == 0 && errors.Is(wait, os.ErrDeadlineExceeded) {
+		// What has come in this very moment is a request all the same.
+		if c.raw.Control(func(fd uintptr) { n, err, done = c.take(int(fd), p) }) == nil && done {
+			return n, err
+		}
+		c.ended = true
+	}
+	if c.ended {
+		return 0, io.EOF
+	}
+	return 0, wait
 }
 
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && c.first.Load() == 0 {
-		c.first.Store(c.clients.clock.now())
+// take reads what has come. It is called under mu; done is false where nothing has.
+func (c *clientConn) take(fd int, p []byte) (n int, err error, done bool) {
+	if c.ended {
+		return 0, io.EOF, true
+	}
+	for n, err = syscall.Read(fd, p); err == syscall.EINTR; {
+		n, err = syscall.Read(fd, p)
+	}
+	switch {
+	case err == syscall.EAGAIN:
+		return 0, nil, false
+	case err != nil:
+		c.left = true
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}, true
+	case n == 0:
+		c.left = true
+		return 0, io.EOF, true
 	}
 	// The server drops a Content-Length beside a Transfer-Encoding without a
 	// word: which of the two counts is in doubt, and with it where the next
 	// request begins. Only here are both seen, and before the server sees them.
-	if c.framing.Write(p[:n]); c.framing.Doubt != "" {
-		c.hiding.Store(true)
+	c.framing.Write(p[:n])
+	if c.first == 0 && (c.framing.Doubt != "" || c.framing.Begun(c.served)) { // an empty line behind a request begins none
+		c.first = c.clients.clock.now()
+		if c.used { // the time it may rest is no limit for a request that has begun
+			_ = c.Conn.SetReadDeadline(time.Now().Add(headTimeout))
+		}
+	}
+	return n, nil, true
+}
+
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.wrote.Store(c.clients.clock.now())
+	return c.Conn.Write(p)
+}
+
+// end ends a connection on which nothing of a request has come, and tells whether it did. Its
+// task then reads its end and closes it.
+func (c *clientConn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.first == 0 && c.endNow()
+}
+
+// endNow ends the connection unless something waits to be read. It is called under mu.
+func (c *clientConn) endNow() bool {
+	if c.ended {
+		return true
+	}
+	if memory.Waiting(c.Conn) {
+		return false
+	}
+	c.ended = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes its task
+	return true
+}
+
+// giveWay ends the connection for another's sake, and at once: also one on which a request has
+// begun and does not go on. One that has come whole is never ended.
+func (c *clientConn) giveWay() bool {
+	c.mu.Lock()
+	won := c.linger || c.framing.Ends <= c.served && c.endNow()
+	c.mu.Unlock()
+	if won {
+		c.clients.drop(c)
+		c.Conn.Close()
+	}
+	return won
+}
+
+// rested notes that a request has been answered. In a drain the connection ends here.
+func (c *clientConn) rested(now choice.Micros) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used, c.quiet = true, now
+	c.served++
+	// Some of the next request may have been read with the one before.
+	if c.first = 0; c.framing.Begun(c.served) {
+		c.first = now
+	} else if c.clients.draining.Load() { // read under mu: drain asks each connection behind it
+		c.endNow()
 	}
-	return n, err
 }
 
+// lingerFor is how long a closed connection's client may take to read the end of its answer, and
+// lingerPart of all connections may be waited for so.
+const (
+	lingerFor  = 500 * time.Millisecond
+	lingerPart = 4
+)
+
+// Close closes the connection. A close over unread bytes resets it, and takes what the client has
+// not got of its answer with it: where one has just been written, the sending side is ended first
+// and the client's end waited for, with nothing read.
 func (c *clientConn) Close() error {
+	var err error
 	c.closed.Do(func() {
-		c.clients.mu.Lock()
-		delete(c.clients.conns, c)
-		c.clients.mu.Unlock()
-		select {
-		case c.clients.freed <- struct{}{}:
-		default:
+		if c.lingers() {
+			c.waitForEnd()
 		}
+		c.clients.drop(c)
+		err = c.Conn.Close()
+	})
+	return err
+}
+
+// lingers tells whether the close has to wait; from now on nothing is read.
+func (c *clientConn) lingers() bool {
+	cs := c.clients
+	wrote := c.wrote.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	if c.left || wrote == 0 || cs.clock.now()-wrote >= lingerFor.Microseconds() {
+		return false
+	}
+	if cs.lingering.Add(1) > cs.most.Load()/lingerPart {
+		cs.lingering.Add(-1)
+		return false
+	}
+	c.linger = true
+	return true
+}
+
+func (c *clientConn) waitForEnd() {
+	defer c.clients.lingering.Add(-1)
+	until := time.Now().Add(lingerFor)
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(until) != nil {
+		return
+	}
+	ended := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, err := memory.Peek(int(fd))
+		ended = err != syscall.EAGAIN && (err != nil || n == 0)
+		return ended || n > 0
 	})
-	return c.Conn.Close()
+	if err == nil && !ended { // behind unread bytes no end shows
+		time.Sleep(time.Until(until))
+	}
 }
 
-// CloseWrite lets the server end a connection without a reset.
+// CloseWrite ends the sending side.
 func (c *clientConn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return t.CloseWrite()
 	}
 	return nil
@@ -127,9 +295,25 @@
 // gone asks the system whether the client has closed the connection.
 func (c *clientConn) gone() bool { return memory.Gone(c.Conn) }
 
+// hiding tells whether the framing has a doubt: nothing more is taken from the connection.
+func (c *clientConn) hiding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.Doubt != ""
+}
+
+// ahead tells whether something of a further request has been read, which is owed an answer too.
+func (c *clientConn) ahead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.Begun(c.served + 1)
+}
+
 func (c *clientConn) sentAt() choice.Micros {
-	if at := c.first.Load(); at > 0 {
-		return at
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.first > 0 {
+		return c.first
 	}
 	return c.clients.clock.now()
 }
@@ -137,8 +321,10 @@
 // began is when the client connected, or when its further request began.
 func (c *clientConn) began() time.Time {
 	at := c.sentAt()
-	if !c.used.Load() {
-		at = c.quiet.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.used {
+		at = c.quiet
 	}
 	return c.clients.clock.at(at)
 }
@@ -153,24 +339,59 @@
 
 // state follows a connection for the server.
 func (c *clients) state(nc net.Conn, s http.ConnState) {
-	if conn := nc.(*clientConn); s == http.StateIdle {
-		now := c.clock.now()
-		conn.used.Store(true)
-		conn.busy.Store(false)
-		conn.quiet.Store(now)
-		conn.served++
-		// The head of the next one may have come with the one before. Nobody
-		// reads between two requests: the framing stands still.
-		if conn.first.Store(0); conn.framing.Heads > conn.served {
-			conn.first.Store(now)
+	if s == http.StateIdle {
+		nc.(*clientConn).rested(c.clock.now())
+	}
+}
+
+// drain ends what rests; from now on a connection ends once it does.
+func (c *clients) drain() {
+	c.draining.Store(true)
+	c.each(func(conn *clientConn) bool { return conn.used })
+}
+
+// endUnused ends connections on which nothing was ever sent.
+func (c *clients) endUnused() { c.each(func(conn *clientConn) bool { return !conn.used }) }
+
+// each ends the connections on which nothing of a request has come, of those meant.
+func (c *clients) each(meant func(*clientConn) bool) {
+	for _, conn := range c.all() {
+		conn.mu.Lock()
+		if conn.first == 0 && meant(conn) {
+			conn.endNow()
 		}
+		conn.mu.Unlock()
 	}
 }
 
-// closeUnused ends connections on which nothing was ever sent.
-func (c *clients) closeUnused() {
-	for c.closeOne(func(conn *clientConn) bool { return !conn.used.Load() }) {
+func (c *clients) all() []*clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.conns))
+}
+
+// drop takes a connection out that is closed.
+func (c *clients) drop(conn *clientConn) {
+	c.mu.Lock()
+	delete(c.conns, conn)
+	c.mu.Unlock()
+	select {
+	case c.freed <- struct{}{}:
+	default:
+	}
+}
+
+// none waits until there is no connection any more.
+func (c *clients) none(ctx context.Context) error {
+	for c.count() > 0 {
+		select {
+		case <-c.freed:
+		case <-time.After(50 * time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
+	return nil
 }
 
 type listener struct {
@@ -189,12 +410,15 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &clientConn{Conn: nc, clients: c}
-	conn.quiet.Store(c.clock.now())
+	conn, err := newClientConn(nc, c)
+	if err != nil {
+		nc.Close()
+		return nil, err
+	}
 	for c.count() >= int(c.most.Load()) && !conn.over {
-		conn.over = !c.closeOne(nil)
+		conn.over = !c.closeOne()
 	}
-	for c.count() >= int(c.most.Load())+c.spare && !c.closeOne(nil) {
+	for c.count() >= int(c.most.Load())+c.spare && !c.closeOne() {
 		// Not even for that is there a descriptor: the next ones wait in the
 		// system's queue.
 		select {
@@ -221,7 +445,8 @@
 // closeOne ends the connection that is least likely to be missed and tells
 // whether there was any. Those who open connections by hundreds and say nothing,
 // or begin to and never end, hold none that others need.
-func (c *clients) closeOne(only func(*clientConn) bool) bool {
+func (c *clients) closeOne() bool {
+	var lost map[*clientConn]bool // a request had come since they were looked at
 	for {
 		var least *clientConn
 		var leastRank int
@@ -229,11 +454,8 @@
 		now := c.clock.now()
 		c.mu.Lock()
 		for conn := range c.conns {
-			if only != nil && !only(conn) {
-				continue
-			}
 			rank, age := conn.rank(now)
-			if rank > 0 && (least == nil || rank < leastRank || rank == leastRank && age > leastAge) {
+			if rank > 0 && (least == nil || rank < leastRank || rank == leastRank && age > leastAge) && !lost[conn] {
 				least, leastRank, leastAge = conn, rank, age
 			}
 		}
@@ -241,31 +463,35 @@
 		if least == nil {
 			return false
 		}
-		// What has come and waits for its reader is a request all the same.
-		if least.first.Load() == 0 && memory.Waiting(least.Conn) {
-			least.first.CompareAndSwap(0, now)
-			continue
+		if least.giveWay() {
+			return true
 		}
-		least.Close()
-		return true
+		if lost == nil {
+			lost = map[*clientConn]bool{}
+		}
+		lost[least] = true
 	}
 }
 
 // rank tells how soon a connection may be ended, 1 the soonest, 0 never, and
 // for how long it has been so.
 func (c *clientConn) rank(now choice.Micros) (int, choice.Micros) {
-	quiet, since := now-c.quiet.Load(), c.first.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	quiet := now - c.quiet
 	switch {
-	case c.busy.Load():
+	case c.linger:
+		return 1, quiet
+	case c.framing.Ends > c.served: // a request has come whole
 		return 0, 0
-	case since > 0 && now-since > slow:
-		return 3, now - since
-	case since > 0:
+	case c.first > 0 && now-c.first > slow:
+		return 4, now - c.first
+	case c.first > 0:
 		return 0, 0
-	case c.used.Load():
-		return 2, quiet
+	case c.used:
+		return 3, quiet
 	case quiet > quick:
-		return 1, quiet
+		return 2, quiet
 	}
-	return 4, quiet
+	return 5, quiet
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -63,14 +64,16 @@
 	rareFull rare                 // lines that clients can cause at will
 	rareAway rare
 	ready    atomic.Bool
-	draining atomic.Bool
+	serving  chan struct{} // closed once listener is set
+	listener net.Listener
+	stopped  chan struct{}  // closed once no connection is accepted any more
 	keeper   *ledger.Writer // nil: balances are not kept
 	agreed   atomic.Bool    // there are contracts
 }
 
 // New returns a gateway, or tells why the module does not take its settings.
 func New(o Options) (*Gateway, error) {
-	g := &Gateway{o: o, clock: newClock(), moves: make(chan string, 1),
+	g := &Gateway{o: o, clock: newClock(), moves: make(chan string, 1), serving: make(chan struct{}), stopped: make(chan struct{}),
 		pool: memory.NewPool(o.WorkerConns, o.ConnIdle, o.ConnectTimeout)}
 	g.registry = caller{pool: memory.NewPool(2, o.ConnIdle, o.CallTimeout)}
 	g.live.Store(&live{classes: o.Settings.Classes, mostHeld: o.MostHeld, maxRetryAfter: o.Settings.MaxRetryAfter,
@@ -104,9 +107,12 @@
 	if g.o.Peers != nil {
 		go g.o.Peers.Run(ctx)
 	}
+	g.listener = l
+	close(g.serving)
 	err := g.server.Serve(g.clients.listen(l))
-	if err == http.ErrServerClosed {
-		err = nil
+	close(g.stopped)
+	if g.clients.draining.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
 	}
 	return err
 }
@@ -124,21 +130,26 @@
 
 // Drain ends service in order. The listener stays open for a while, because
 // the front goes on handing out connections; what comes is answered, and each
-// answer closes its connection. Then the listener closes, and what is in hand
-// is finished.
+// answer ends its connection. Then the listener closes, and what is in hand
+// is finished. The server's own Shutdown is not used: it drops requests that have been
+// read, and closes connections under those that are being read.
 func (g *Gateway) Drain(ctx context.Context) error {
-	g.draining.Store(true)
-	g.server.SetKeepAlivesEnabled(false) // closes idle connections too
-	select {
-	case <-time.After(g.o.DrainAccept):
-	case <-ctx.Done():
+	g.clients.drain()
+	<-g.serving
+	wait := func(d time.Duration) {
+		select {
+		case <-time.After(d):
+		case <-ctx.Done():
+		}
 	}
-	// The server waits seconds for connections that were opened and never used;
-	// by now a request on one would have come.
-	unused := time.AfterFunc(g.o.DrainAccept/4, g.clients.closeUnused)
-	defer unused.Stop()
+	wait(g.o.DrainAccept)
+	_ = g.listener.Close()
+	<-g.stopped // what it had accepted is among the clients' connections
 	go g.handOver(ctx)
-	return g.server.Shutdown(ctx)
+	// By now a request on a connection that was opened and never used would have come.
+	wait(g.o.DrainAccept / 4)
+	g.clients.endUnused()
+	return g.clients.none(ctx)
 }
 
 // sweep closes connections that are of no more use.
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -240,6 +240,15 @@
 
 // start runs a gateway before the workers and waits until it is ready.
 func start(t *testing.T, tweak func(*Options), workers ...*worker) *running {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startAt(t, l, tweak, workers...)
+}
+
+func startAt(t *testing.T, l net.Listener, tweak func(*Options), workers ...*worker) *running {
 	t.Helper()
 	o := options()
 	if tweak != nil {
@@ -255,10 +264,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{Gateway: g, addr: l.Addr().String(), reg: reg, served: make(chan error, 1)}
 	go func() { r.served <- g.Serve(ctx, l) }()
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -33,8 +33,8 @@
 }
 
 // termsOf tells what a class allows a second run.
-func (g *Gateway) termsOf(class string) takeover.Terms {
-	for _, c := range g.live.Load().classes {
+func (g *Gateway) termsOf(class string, v *live) takeover.Terms {
+	for _, c := range v.classes {
 		if c.Name == class {
 			safe := c.Effect == choice.Safe
 			return takeover.Terms{Repeat: safe, Beside: safe && g.o.Settings.SecondCopies}
@@ -45,7 +45,7 @@
 
 // takeUp holds a request, or goes on with one that another gateway had. sentAt is the
 // client's sending. A problem is the answer to a request that cannot be gone on with.
-func (g *Gateway) takeUp(r *http.Request, job *socket.Job, sentAt choice.Micros) (*hand, *problem) {
+func (g *Gateway) takeUp(r *http.Request, job *socket.Job, sentAt choice.Micros, v *live) (*hand, *problem) {
 	if g.o.Peers == nil {
 		return nil, nil
 	}
@@ -57,7 +57,7 @@
 	h.ctx, h.cancel = context.WithCancel(r.Context())
 	if !asked {
 		left := time.Duration(sentAt+job.Wait-g.clock.now()) * time.Microsecond
-		if h.held = g.o.Peers.Hold(job.ID, g.termsOf(job.Request.Class), max(0, left), h.cancel); h.held == nil {
+		if h.held = g.o.Peers.Hold(job.ID, g.termsOf(job.Request.Class, v), max(0, left), h.cancel); h.held == nil {
 			h.cancel()
 			return nil, inHand
 		}
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -130,13 +130,17 @@
 
 // peek looks at what can be read from a connection now: EAGAIN says nothing.
 func peek(c net.Conn) (n int, err error) {
-	gone := onDescriptor(c, func(fd int) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
+	gone := onDescriptor(c, func(fd int) { n, err = Peek(fd) })
 	return n, cmp.Or(gone, err)
 }
 
+// Peek looks at what can be read from a descriptor now, and leaves it unread.
+func Peek(fd int) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // onDescriptor calls f with a connection's descriptor; one that has none says nothing, as EAGAIN.
 func onDescriptor(c net.Conn, f func(fd int)) error {
 	sc, ok := c.(syscall.Conn)
--- a/internal/wire/socket/framing.go
+++ b/internal/wire/socket/framing.go
@@ -12,6 +12,7 @@
 type Framing struct {
 	Doubt string // what is in doubt; from then on nothing is followed
 	Heads int    // whole heads that have come
+	Ends  int    // whole requests
 
 	at      part
 	line    []byte // the line so far, no more than framingLine bytes of it
@@ -70,13 +71,18 @@
 	}
 }
 
+// Begun tells whether anything has come of a further request than so many. An empty line is none of it.
+func (f *Framing) Begun(requests int) bool {
+	return f.Heads > requests || f.at == inHead && (f.start || len(f.line) > 0 && string(f.line) != "\r")
+}
+
 // next goes on behind a body or a chunk.
 func (f *Framing) next() {
 	if f.at == inChunk {
 		f.at = inChunkEnd
 		return
 	}
-	*f = Framing{line: f.line[:0], Heads: f.Heads}
+	*f = Framing{line: f.line[:0], Heads: f.Heads, Ends: f.Ends + 1}
 }
 
 // take takes a whole line.
