The chunks of one event go on to the client together

Need: an event is to be passed on within 0.3 s. Seen, by probes on scratch copies: there replicas send one event in several chunks some milliseconds apart (half of all gaps between chunks under 10 ms, the others 150 ms). Each chunk was written and flushed alone; the way to the client has its price for each write, and the parts pile up behind each other, event after event. Ruled out: the gateway's own hold (no chunk waited over 20 ms for its write, no write took 20 ms), pieces on the way from the replica (they come whatever is read). The system's count of bytes on their way to the client says nothing there, so it can't be gone by. Lines at fault: acceptor.go, passOn: a write and a flush for each piece of d.Events. Change: parts of an event wait for its end (an empty line), 50 ms and 64 KiB at most; a whole event never waits. Bytes are unchanged, also of a stream that breaks within an event.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -226,30 +226,54 @@
 }
 
 // passOn gives the client a delegation's events, each as it comes, and tells
-// whether the stream came whole.
+// whether the stream came whole. A worker may send one event in several chunks, which are of no
+// use to the client alone: they go on together, or as far as they have come once they take too long.
 func passOn(w http.ResponseWriter, d *memory.Delegation, hand *hand) bool {
 	defer d.Cancel()
 	out := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
-	for events := range d.Events {
-		events, ok := hand.fresh(events)
-		if !ok || !hand.mine() {
-			return false
+	var part []byte // of an event
+	late := time.NewTimer(0)
+	defer late.Stop()
+	for more := true; more; {
+		select {
+		case piece, ok := <-d.Events:
+			if more = ok; !ok {
+				break
+			}
+			piece, ok = hand.fresh(piece)
+			if !ok || !hand.mine() {
+				return false
+			}
+			if len(part) == 0 {
+				late.Reset(partFor)
+			}
+			if part = append(part, piece...); !socket.EndsEvent(part) && len(part) < mostPart {
+				continue
+			}
+		case <-late.C:
 		}
-		if len(events) == 0 {
+		if len(part) == 0 {
 			continue
 		}
 		// A client that reads nothing for so long has as good as left.
 		_ = out.SetWriteDeadline(time.Now().Add(clientStall))
-		if _, err := w.Write(events); err != nil || out.Flush() != nil {
+		if _, err := w.Write(part); err != nil || out.Flush() != nil {
 			return false
 		}
+		part = part[:0]
 	}
 	_ = out.SetWriteDeadline(time.Now().Add(clientStall))
 	return d.Whole && hand.whole()
 }
 
+// partFor and mostPart are how long the part of an event waits for the rest, and how much of it.
+const (
+	partFor  = 50 * time.Millisecond
+	mostPart = 64 << 10
+)
+
 // clientStall is how long a client may read nothing of what is sent to it.
 const clientStall = 5 * time.Second
 
--- a/internal/wire/socket/socket_test.go
+++ b/internal/wire/socket/socket_test.go
@@ -99,3 +99,12 @@
 		}
 	}
 }
+
+func TestEndsEvent(t *testing.T) {
+	for text, want := range map[string]bool{"data: x\n\n": true, "data: x\r\n\r\n": true, "data: x\r\r": true, "\n\n": true,
+		"": false, "data: x": false, "data: x\n": false, "data: x\r\n": false, "data: x\n\nd": false, "\n": false} {
+		if got := EndsEvent([]byte(text)); got != want {
+			t.Errorf("%q: %t", text, got)
+		}
+	}
+}
--- a/internal/wire/socket/stream.go
+++ b/internal/wire/socket/stream.go
@@ -145,6 +145,11 @@
 	return strings.TrimSuffix(string(line[:len(line)-1]), "\r"), nil
 }
 
+// EndsEvent tells whether bytes of a stream end with an event's end: an empty line.
+func EndsEvent(b []byte) bool {
+	return bytes.HasSuffix(b, []byte("\n\n")) || bytes.HasSuffix(b, []byte("\n\r\n")) || bytes.HasSuffix(b, []byte("\r\r"))
+}
+
 // cut is the error of a body that ends too soon.
 func cut(err error) error {
 	if err == io.EOF {
