An order to ask discovery outlives the failure it came behind; a request has one version of the settings

Two crossings of the issue, found by reading line by line. 1. watch.go: after a failed call the task told the loop, and then threw away an order that stood, as one from before. An order that the module gave between the two was thrown away with it: discovery was not asked until the module repeated it 5 s later. Now the loop, which alone gives orders, voids those from before in the step in which it hears of the failure, and the task waits for that step. 2. loop.go, arrived: a version that came in force between a request's head and its last byte met it halfway: its class was checked by the old one and its terms taken from the new one, where a class that is gone counts as one of no name, with the first class's aim. Now the new one has it whole, with its own time where the client told none, or it is turned away (400) before anything ran. 3. loop.go, opened: the order to pass a stream on stood before the other attempts were called off, so that one could still be written once the client had its first event. Now they are called off first.

--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/acceptor.go
@@ -121,11 +121,12 @@
 	// neither memory nor a worker. A worker turns such a request away as an
 	// error, and errors count against it.
 	job, err := socket.ReadJob(r.Header)
+	told := job.Wait > 0
 	if err == nil {
 		err = live.checkClass(&job)
 	}
 	if err != nil {
-		g.turnAway(w, &problem{http.StatusBadRequest, err.Error()})
+		g.turnAway(w, badRequest(err.Error()))
 		return
 	}
 	body, problem := g.readBody(w, r)
@@ -176,7 +177,7 @@
 			slog.String("worker", worker), slog.Int64("wait_ms", job.Wait/1000), slog.Int64("first_ms", first/1000),
 			slog.Int64("total_ms", (g.clock.now()-sentAt)/1000), slog.Int64("retry_ms", retryAfter/1000))
 	}()
-	g.loop.events <- arrived{req}
+	g.loop.events <- arrived{req, live, told}
 	for {
 		var a memory.Action
 		select {
@@ -217,6 +218,10 @@
 			answer, retryAfter = "contract", a.RetryAfter
 			notAgreed(w, a.Reason, a.RetryAfter)
 			return
+		case memory.TurnAway:
+			answer = "turned_away"
+			g.turnAway(w, badRequest(a.Reason))
+			return
 		case memory.Fail:
 			answer = "failed"
 			http.Error(w, "the request failed", http.StatusBadGateway)
@@ -287,13 +292,9 @@
 // checkClass turns away classes that the settings do not name, and gives the
 // class's deadline to a request that tells none.
 func (v *live) checkClass(job *socket.Job) error {
-	for _, c := range v.classes {
-		if c.Name == job.Request.Class {
-			job.Wait = cmp.Or(job.Wait, c.Deadline)
-			return nil
-		}
-	}
-	return fmt.Errorf("Req-Kind: no class %.40q", job.Request.Class)
+	c, err := v.class(job.Request.Class)
+	job.Wait = cmp.Or(job.Wait, c.Deadline)
+	return err
 }
 
 // full answers where a limit of the gateway's own is reached, of which the
@@ -310,6 +311,8 @@
 	text   string
 }
 
+func badRequest(text string) *problem { return &problem{http.StatusBadRequest, text} }
+
 var (
 	// unframed says that a request's length is in doubt.
 	unframed = &problem{http.StatusBadRequest, "Content-Length, Transfer-Encoding: one of them, once"}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -111,7 +111,7 @@
 	l.now = g.clock.now()
 	l.list(socket.List{Instances: []socket.Instance{{ID: "s-1", Addr: "127.0.0.1:1", Zone: "a", Kind: "k", Lifecycle: "ready"}}}, choice.ListSaved)
 	r := memory.NewRequest(context.Background(), "l1", choice.Request{Class: "chat"}, l.now+1e6, 3)
-	arrived{r}.apply(l)
+	arrived{r, l.g.live.Load(), true}.apply(l)
 	if len(r.Actions) != 1 {
 		t.Fatalf("%d orders", len(r.Actions))
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -125,10 +125,27 @@
 
 // The events.
 
-type arrived struct{ r *memory.Request }
+type arrived struct {
+	r    *memory.Request
+	live *live // the version by which its head was read
+	told bool  // its client has told its deadline
+}
 
 func (e arrived) apply(l *loop) {
 	l.requests.Add(e.r)
+	// A version that came in force behind its head has it whole or not at all: under the one its class
+	// was known, and the other would have served it as of no class, or by two classes' times.
+	if now := l.g.live.Load(); now != e.live {
+		was, _ := e.live.class(e.r.In.Class)
+		is, err := now.class(e.r.In.Class)
+		if err != nil {
+			l.answer(e.r.ID, memory.Action{Kind: memory.TurnAway, Reason: err.Error()})
+			return
+		}
+		if !e.told {
+			e.r.Deadline += is.Deadline - was.Deadline
+		}
+	}
 	e.r.In.TimeLeft = max(0, e.r.Deadline-l.now)
 	if !l.admitted(e.r) {
 		return
@@ -167,8 +184,9 @@
 		return
 	}
 	r.Bound = e.d
-	r.Actions <- memory.Action{Kind: memory.PassOn, Delegation: e.d}
+	// The others are called off before the client gets anything: nothing is sent for it from then on.
 	l.m.FirstToken(l.now, choice.Outcome{ID: r.ID, Attempt: e.d.N, Replica: e.d.Worker.ID, Elapsed: l.now - e.d.SentAt})
+	r.Actions <- memory.Action{Kind: memory.PassOn, Delegation: e.d}
 }
 
 // ended is a delegation's one outcome.
@@ -234,6 +252,7 @@
 type listFailed struct {
 	err       error
 	unreached bool // discovery was not there at all
+	heard     chan struct{}
 }
 
 func (e listFailed) apply(l *loop) {
@@ -242,7 +261,12 @@
 	if e.unreached {
 		kind = choice.ListUnreached
 	}
+	select { // ordered while the call ran: answered by its failure
+	case <-l.watches:
+	default:
+	}
 	l.m.ListChanged(l.now, choice.ServerList{Kind: kind})
+	close(e.heard)
 }
 
 func (l *loop) list(in socket.List, kind choice.ListKind) {
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -34,13 +34,9 @@
 
 // termsOf tells what a class allows a second run.
 func (g *Gateway) termsOf(class string, v *live) takeover.Terms {
-	for _, c := range v.classes {
-		if c.Name == class {
-			safe := c.Effect == choice.Safe
-			return takeover.Terms{Repeat: safe, Beside: safe && g.o.Settings.SecondCopies}
-		}
-	}
-	return takeover.Terms{}
+	c, err := v.class(class)
+	safe := err == nil && c.Effect == choice.Safe
+	return takeover.Terms{Repeat: safe, Beside: safe && g.o.Settings.SecondCopies}
 }
 
 // takeUp holds a request, or goes on with one that another gateway had. sentAt is the
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -23,17 +24,23 @@
 	watchWait, callTimeout time.Duration
 }
 
+// class is the class of a name.
+func (v *live) class(name string) (choice.Class, error) {
+	for _, c := range v.classes {
+		if c.Name == name {
+			return c, nil
+		}
+	}
+	return choice.Class{}, fmt.Errorf("Req-Kind: no class %.40q", name)
+}
+
 // bad tells whether a request came late or was not served.
 func (v *live) bad(job *socket.Job, answer string, first choice.Micros) bool {
 	if answer != "served" && answer != "broken" {
 		return true
 	}
-	for _, c := range v.classes {
-		if c.Name == job.Request.Class {
-			return first > c.Aim+c.AimPer1000*int64(job.Request.PromptTokens)/1000
-		}
-	}
-	return false
+	c, err := v.class(job.Request.Class)
+	return err == nil && first > c.Aim+c.AimPer1000*int64(job.Request.PromptTokens)/1000
 }
 
 // Files are what holds where a version says nothing: the platform's
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -304,7 +304,7 @@
 	l.list(list, choice.ListSaved)
 	for i := range 10_000 {
 		r := memory.NewRequest(context.Background(), fmt.Sprint(i), choice.Request{Class: "chat", PromptTokens: 10}, l.now+60e6, 3)
-		arrived{r}.apply(l)
+		arrived{r, l.g.live.Load(), true}.apply(l)
 	}
 	if n := l.b.Figures().Requests; n < 9_000 {
 		b.Fatal(n)
@@ -326,3 +326,47 @@
 type lookOrder struct{ f func(*loop) }
 
 func (e lookOrder) apply(l *loop) { e.f(l) }
+
+// A version comes in force between the head of a request and its last byte: the request is taken by it
+// whole, or turned away where its class is gone. Nothing of two versions meets in one request.
+func TestVersionMeetsARequest(t *testing.T) {
+	version := func(name string, deadline uint64) *revision.Config {
+		c := choice.Class{Name: name, Aim: 1_000_000, Deadline: choice.Micros(deadline), Worth: 1, Stream: true}
+		return &revision.Config{HasClasses: true, Classes: []choice.Class{c}}
+	}
+	for name, c := range map[string]struct {
+		next   *revision.Config
+		status int
+		told   choice.Micros // that the replica is told of its time, at most and at least a tenth of it
+	}{
+		"its class is gone":           {version("other", 4_000_000), 400, 0},
+		"its class has another time":  {version("chat", 60_000_000), 200, 60_000_000},
+		"its class has a shorter one": {version("chat", 2_000_000), 200, 2_000_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, "s-1", whole)
+			g := start(t, nil, w)
+			cl := dial(t, g.addr)
+			cl.raw("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: v\r\nReq-Kind: chat\r\nContent-Length: 5\r\n\r\nab")
+			until(t, "its head was read", func() bool { return g.clients.bytes.Load() > 0 })
+			if r := g.ApplyVersion(t.Context(), c.next, revision.DefaultLimits); len(r) > 0 {
+				t.Fatal(r)
+			}
+			cl.raw("cde")
+			if resp, body := cl.answer(); resp.StatusCode != c.status {
+				t.Errorf("status %d %q", resp.StatusCode, body)
+			}
+			_, n := w.seen()
+			if sent := c.status == 200; sent != (n == 1) {
+				t.Fatalf("%d requests sent on", n)
+			}
+			if c.told > 0 {
+				var us choice.Micros
+				fmt.Sscanf(w.got[0].Header.Get("Req-Deadline"), "%du", &us)
+				if us > c.told || us < c.told/10 {
+					t.Errorf("the replica was told %d us", us)
+				}
+			}
+		})
+	}
+}
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -98,16 +98,17 @@
 			if err != nil {
 				// Where there is nobody, that shows at once; who took the call or kept it waiting
 				// may have had news.
-				g.loop.post(ctx, listFailed{err, errors.Is(err, errConnect) && time.Since(begun) < refused})
+				e := listFailed{err, errors.Is(err, errConnect) && time.Since(begun) < refused, make(chan struct{})}
+				g.loop.post(ctx, e)
+				select { // what was ordered before it was heard is void, and what is ordered from then on counts
+				case <-e.heard:
+				case <-ctx.Done():
+				}
 				break
 			}
 			silent, version = false, list.Generation
 			g.loop.post(ctx, listed{list})
 		}
-		select { // orders given while it ran are answered by its failure
-		case <-g.loop.watches:
-		default:
-		}
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/watch_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/capture"
+	"archknot/internal/memory"
+	"archknot/internal/wire/socket"
+)
+
+// orders is a module that orders a watch in the very moment in which it hears of a failed call.
+type orders struct {
+	capture.Module
+	l   *loop
+	off bool
+}
+
+func (o *orders) ListChanged(_ choice.Micros, l choice.ServerList) {
+	if l.Kind.Failed() && !o.off {
+		o.l.WatchRegistry()
+	}
+}
+
+// An order to ask discovery that was given while a call ran is answered by the call's failure; one
+// given from the failure on counts, however soon: swallowed, discovery was not asked for 5 s.
+func TestOrderMeetsFailedCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	o := options()
+	o.Discovery = l.Addr().String()
+	g, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &orders{Module: g.loop.m, l: g.loop}
+	g.loop.m = m
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(5 * time.Second))
+	go g.watch(t.Context()) // the test stands for the loop
+	g.loop.WatchRegistry()
+	for i := range 3 { // no more calls than were ordered, nor fewer
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.loop.WatchRegistry() // while the call runs: void
+		c.Close()
+		e := (<-g.loop.events).(listFailed)
+		if i == 2 {
+			m.off, e.heard = true, make(chan struct{}) // nobody goes on behind it
+		}
+		if len(g.loop.watches) != 1 || len(g.loop.events) != 0 {
+			t.Errorf("call %d: the failure's order was taken up before it was heard", i)
+		}
+		e.apply(g.loop)
+	}
+	if len(g.loop.watches) != 0 {
+		t.Error("an order from before the failure stands")
+	}
+}
+
+// The first event that a client gets is behind the end of all other attempts of its request: when
+// the order to pass the stream on stands, the others are called off.
+func TestTwinBeginsToAnswer(t *testing.T) {
+	g, err := New(options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := g.loop
+	l.now = g.clock.now()
+	l.list(socket.List{Instances: []socket.Instance{{ID: "s-1", Addr: "127.0.0.1:1", Zone: "a", Kind: "k", Lifecycle: "ready"},
+		{ID: "s-2", Addr: "127.0.0.1:2", Zone: "a", Kind: "k", Lifecycle: "ready"}}}, choice.ListSaved)
+	ctx := t.Context()
+	r := memory.NewRequest(ctx, "w1", choice.Request{Class: "chat"}, l.now+4e6, 3)
+	arrived{r, l.g.live.Load(), true}.apply(l)
+	first := (<-r.Actions).Delegation
+	second := l.requests.Delegation(r, l.registry.Named("s-2"), l.now, l.now+4e6)
+	l.m = callsOff{l.m, func() {
+		if len(r.Actions) != 0 {
+			t.Error("the stream is passed on before the others are called off")
+		}
+		second.Cancel()
+	}}
+	opened{first}.apply(l)
+	if a := <-r.Actions; a.Kind != memory.PassOn || second.Ctx.Err() == nil {
+		t.Errorf("action %v, the twin's end %v", a.Kind, second.Ctx.Err())
+	}
+	// The other order: what begins to answer once another's stream is the client's ends at once.
+	third := l.requests.Delegation(r, l.registry.Named("s-2"), l.now, l.now+4e6)
+	opened{third}.apply(l)
+	if third.Ctx.Err() == nil || len(r.Actions) != 0 {
+		t.Error("a second stream goes on")
+	}
+}
+
+type callsOff struct {
+	capture.Module
+	off func()
+}
+
+func (c callsOff) FirstToken(now choice.Micros, o choice.Outcome) {
+	c.off()
+	c.Module.FirstToken(now, o)
+}
--- a/internal/memory/requests.go
+++ b/internal/memory/requests.go
@@ -16,6 +16,7 @@
 	PassOn                     // the delegation's stream is the client's
 	Overload                   // answer with an overload reply
 	Fail                       // answer with a failure
+	TurnAway                   // answer that it cannot be taken on
 	Contract                   // answer that the team's contract does not allow it
 )
 
@@ -24,7 +25,7 @@
 	Kind       ActionKind
 	Delegation *Delegation   // for Delegate and PassOn
 	RetryAfter choice.Micros // for Overload and Contract; 0: no advice
-	Reason     string        // for Contract, for machines
+	Reason     string        // for Contract, for machines, and for TurnAway
 }
 
 // Request is a client's request while it is owed an answer or has delegations
