A connection to a replica carries nothing for 20 ms: a late second answer was the next request's

Line at fault: memory/pool.go, kept: the connection used last was given out at once; fit sees bytes that have come, not those that come a moment later and are then read as the answer to the next request. Forced by TestSecondAnswerMeetsTheNextRequest: the second request's client got the first one's stray answer; with the rest taken out it fails again. TestUnaskedBytes covers what has come by then. Discovery's connections do not rest: a watch goes on within 200 ms. Also: TestOddClientsLeaveNothing (nine odd clients at once; connections, bodies, tasks back); the processes' tests take ports below those that the system deals out (one bind failed once: "address already in use").

--- a/cmd/archknot/main_test.go
+++ b/cmd/archknot/main_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -44,16 +46,23 @@
 	more               chan struct{} // closed: streams end
 }
 
+// address is one that nothing uses, below those that the system deals out itself.
 func address(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 200 {
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))); err == nil {
+			l.Close()
+			if _, taken := dealt.LoadOrStore(l.Addr().String(), true); !taken {
+				return l.Addr().String()
+			}
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free address")
+	return ""
 }
 
+var dealt sync.Map // addresses of this test's processes
+
 func serve(t *testing.T, addr string, h http.HandlerFunc) {
 	t.Helper()
 	l, err := net.Listen("tcp", addr)
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -407,3 +409,55 @@
 		t.Error("a lingering connection keeps its place")
 	}
 }
+
+// Odd clients, all at once: each is answered or cut off, others notice nothing, no replica is held to
+// blame, and connections, bodies and tasks are back to where they were.
+func TestOddClientsLeaveNothing(t *testing.T) {
+	w := newWorker(t, "s-1", whole)
+	g := start(t, nil, w)
+	c := dial(t, g.addr)
+	c.ask("before", "4000m")
+	c.answer()
+	until(t, "rest", func() bool { return g.resting() == 1 })
+	tasks := runtime.NumGoroutine()
+	var group sync.WaitGroup
+	for name, text := range map[string]string{
+		"half a head":        half,
+		"half a body":        half + "Req-Kind: chat\r\nContent-Length: 9\r\n\r\nab",
+		"an endless head":    half + "X: " + strings.Repeat("x", 1<<20),
+		"an endless body":    half + "Req-Kind: chat\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk(strings.Repeat("y", 1000)), 1000),
+		"two lengths":        half + "Req-Kind: chat\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+		"a spoilt chunk":     half + "Req-Kind: chat\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc",
+		"noise":              "\x00\x01\x02\xff\n\n\n\n",
+		"two at once, gone":  strings.Repeat(half+"Req-Kind: none\r\nContent-Length: 0\r\n\r\n", 2),
+		"whole, in 1 byte's": half + rest,
+	} {
+		odd := dial(t, g.addr)
+		group.Go(func() {
+			if strings.HasPrefix(name, "whole") {
+				for i := range len(text) {
+					io.WriteString(odd, text[i:i+1])
+				}
+				if resp, err := http.ReadResponse(odd.in, nil); err != nil || resp.StatusCode != 200 {
+					t.Errorf("%s: %v, %v", name, resp, err)
+				}
+			} else {
+				io.WriteString(odd, text) // may be cut off
+			}
+			odd.Close()
+		})
+	}
+	for i := range 20 {
+		c.ask(fmt.Sprint("good", i), "4000m")
+		if resp, _ := c.answer(); resp.StatusCode != 200 {
+			t.Errorf("a good client's: status %d", resp.StatusCode)
+		}
+	}
+	group.Wait()
+	until(t, "all back", func() bool {
+		return g.clients.count() == 1 && g.clients.bytes.Load() == 0 && g.clients.held() == 0 && runtime.NumGoroutine() <= tasks+2
+	})
+	if _, n := w.seen(); n != 22 {
+		t.Errorf("%d requests reached the replica, want the 22 good ones", n)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	BodyBytes      int64
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // a kept connection to a worker is closed after so long
+	ConnRest       time.Duration // and carries nothing before so long
 	ClientIdle     time.Duration // one from a client
 	Stall          time.Duration // a begun stream without an event for so long is given up
 	ProbeTimeout   time.Duration
@@ -75,6 +76,7 @@
 func New(o Options) (*Gateway, error) {
 	g := &Gateway{o: o, clock: newClock(), moves: make(chan string, 1), serving: make(chan struct{}), stopped: make(chan struct{}),
 		pool: memory.NewPool(o.WorkerConns, o.ConnIdle, o.ConnectTimeout)}
+	g.pool.Rest(o.ConnRest)
 	g.registry = caller{pool: memory.NewPool(2, o.ConnIdle, o.CallTimeout)}
 	g.live.Store(&live{classes: o.Settings.Classes, mostHeld: o.MostHeld, maxRetryAfter: o.Settings.MaxRetryAfter,
 		watchWait: o.WatchWait, callTimeout: o.CallTimeout})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -351,6 +351,41 @@
 	}
 }
 
+// A second answer to a request, which comes when the next request has been sent, is not taken for
+// that one's: a connection that has just been used carries nothing for a while.
+func TestSecondAnswerMeetsTheNextRequest(t *testing.T) {
+	const wrong = "data: another's\n\n"
+	second, wrote := make(chan struct{}), make(chan struct{})
+	w := newWorker(t, "s-1", func(c net.Conn, r *http.Request) bool {
+		switch r.Header.Get("Req-Id") {
+		case "y1":
+			go func() {
+				<-second
+				io.WriteString(c, streamHead+chunk(wrong)+lastChunk)
+				close(wrote)
+			}()
+		case "y2":
+			close(second)
+			<-wrote
+		}
+		return whole(c, r)
+	})
+	g := start(t, func(o *Options) { o.ConnRest = time.Minute }, w)
+	c := dial(t, g.addr)
+	for _, id := range []string{"y1", "y2"} {
+		c.ask(id, "4000m")
+		if _, body := c.answer(); !strings.Contains(body, "[DONE]") || strings.Contains(body, wrong) {
+			t.Errorf("%s: %q", id, body)
+		}
+	}
+	// The connection that has unasked bytes is of no use, rested or not.
+	g.pool.Rest(0)
+	c.ask("y3", "4000m")
+	if _, body := c.answer(); !strings.Contains(body, "[DONE]") || strings.Contains(body, wrong) {
+		t.Errorf("y3: %q", body)
+	}
+}
+
 // The watch goes on, a draining worker gets nothing more, and a failed call is
 // followed by another. Version 0 made the watch spin once.
 func TestRegistryIsFollowed(t *testing.T) {
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -69,6 +69,8 @@
 	// What the operators' front and the protocol allow at a planned restart:
 	// connections come for up to 0.4 s, and nothing may arrive after 0.7 s.
 	drainAccept = 550 * time.Millisecond
+	// A worker's second answer to a request may come some milliseconds behind the first.
+	connRest = 20 * time.Millisecond
 )
 
 // Load reads the configuration: the file that NODE_CONFIG names, and the other
@@ -214,6 +216,7 @@
 	// Well below the workers' own limit: what is written to a connection that
 	// they have closed is lost with it.
 	o.ConnIdle = time.Duration(o.Settings.ConnIdle) * time.Microsecond * 3 / 4
+	o.ConnRest = connRest
 	o.ClientIdle = 15 * time.Second
 	o.Stall = 4 * time.Second
 	o.ProbeTimeout = 250 * time.Millisecond
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -54,6 +54,9 @@
 	if o.MostHeld > o.ClientConns {
 		t.Errorf("%d requests over %d connections", o.MostHeld, o.ClientConns)
 	}
+	if o.ConnRest < 10*time.Millisecond || o.ConnRest > 100*time.Millisecond { // second answers come some milliseconds late
+		t.Errorf("connections rest for %v", o.ConnRest)
+	}
 	if o.ConnIdle >= 60*time.Second || o.ConnectTimeout != 50*time.Millisecond || o.WatchWait > 10*time.Second {
 		t.Errorf("idle %v, connect %v, watch %v", o.ConnIdle, o.ConnectTimeout, o.WatchWait)
 	}
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -226,3 +226,30 @@
 		far.Close()
 	}
 }
+
+// Bytes that came unasked on a kept connection would be taken for the next answer.
+func TestUnaskedBytes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	p := NewPool(2, time.Minute, time.Second)
+	first, err := p.Get(context.Background(), "k", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	p.Put(first)
+	far.Write([]byte("x"))
+	for end := time.Now().Add(5 * time.Second); !Waiting(first.Conn) && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if c, err := p.Get(context.Background(), "k", l.Addr().String()); err != nil || c == first || p.Open() != 1 {
+		t.Errorf("%v, the same %t, %d open", err, c == first, p.Open())
+	}
+}
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +32,7 @@
 	dial  net.Dialer
 	mu    sync.Mutex
 	idle  time.Duration // a kept connection is closed after so long
+	rest  time.Duration // and carries nothing before so long
 	most  int           // connections open at once
 	open  int
 	spare map[string][]*Conn // by key, the one used last at the end
@@ -42,6 +44,14 @@
 	return &Pool{dial: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}, idle: idle, most: most, spare: map[string][]*Conn{}}
 }
 
+// Rest has connections that are kept carry nothing for so long. A peer's second answer to a request
+// may come a moment behind the first: by then it would be taken for the next request's.
+func (p *Pool) Rest(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rest = d
+}
+
 // SetLimits changes the bounds. Connections past a lower one are not cut off: none
 // is opened until enough have ended.
 func (p *Pool) SetLimits(most int, idle, connectTimeout time.Duration) {
@@ -74,10 +84,12 @@
 func (p *Pool) kept(key string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for list := p.spare[key]; len(list) > 0; {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		p.spare[key] = list
+	for i := len(p.spare[key]) - 1; i >= 0; i-- {
+		c := p.spare[key][i]
+		if time.Since(c.usedAt) < p.rest {
+			continue
+		}
+		p.spare[key] = slices.Delete(p.spare[key], i, i+1)
 		if c.fit(p.idle) {
 			c.Reused = true
 			return c
