Words: delegation is attempt, the acceptor is the server; names of files and identifiers alone

Words in the log (delegation, delegations) stay: operators' searches and docs/on-call.md go by them.

--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -458,7 +458,7 @@
 	})
 }
 
-// attempt is one delegation at a worker.
+// attempt is one attempt at a worker.
 type attempt struct {
 	g     *gateway
 	r     *request
--- a/internal/gateway/delegation.go
+++ b/internal/gateway/attempt.go
@@ -16,9 +16,9 @@
 	"archknot/internal/wire/socket"
 )
 
-// delegate carries out one delegation from its send to its end and reports its
+// attempt carries out one attempt from its send to its end and reports its
 // one outcome. The stream goes to d.Events as it comes.
-func (g *Gateway) delegate(r *http.Request, body []byte, d *memory.Delegation, hand *hand) {
+func (g *Gateway) attempt(r *http.Request, body []byte, d *memory.Attempt, hand *hand) {
 	defer d.Cancel()
 	e := ended{d: d, status: choice.ConnectFailed}
 	switch {
@@ -32,20 +32,20 @@
 	g.loop.events <- e
 }
 
-// send starts a delegation's task.
-func (g *Gateway) send(r *http.Request, body []byte, d *memory.Delegation, hand *hand) {
+// send starts an attempt's task.
+func (g *Gateway) send(r *http.Request, body []byte, d *memory.Attempt, hand *hand) {
 	if hand != nil {
-		hand.running.Go(func() { g.delegate(r, body, d, hand) })
+		hand.running.Go(func() { g.attempt(r, body, d, hand) })
 		return
 	}
-	go g.delegate(r, body, d, nil)
+	go g.attempt(r, body, d, nil)
 }
 
 // silence is how long a worker may say nothing before its kept connections
 // are no longer trusted.
 const silence = time.Second
 
-func (g *Gateway) exchange(r *http.Request, body []byte, d *memory.Delegation, e *ended, hand *hand) choice.Status {
+func (g *Gateway) exchange(r *http.Request, body []byte, d *memory.Attempt, e *ended, hand *hand) choice.Status {
 	cutAt := g.clock.at(d.CutAt)
 	ctx, stop := context.WithDeadline(d.Ctx, cutAt)
 	defer stop()
@@ -58,7 +58,7 @@
 	}
 	e.reused = c.Reused
 	keep := false
-	// A cancelled delegation frees its connection at once, whatever waits on it.
+	// A cancelled attempt frees its connection at once, whatever waits on it.
 	unhook := context.AfterFunc(d.Ctx, func() { c.Close() })
 	defer func() {
 		if unhook() && keep {
@@ -164,8 +164,8 @@
 // maxInfos bounds the 1xx answers before the answer.
 const maxInfos = 8
 
-// broken tells what the end of a connection means for a delegation.
-func broken(d *memory.Delegation, err error, otherwise choice.Status) choice.Status {
+// broken tells what the end of a connection means for an attempt.
+func broken(d *memory.Attempt, err error, otherwise choice.Status) choice.Status {
 	switch {
 	case d.Ctx.Err() != nil:
 		return choice.Cancelled
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -20,7 +20,7 @@
 	"archknot/internal/wire/socket"
 )
 
-// clients are the connections that the acceptor holds, and what their requests
+// clients are the connections that the server holds, and what their requests
 // take up.
 type clients struct {
 	clock clock
--- a/internal/gateway/contracts.go
+++ b/internal/gateway/contracts.go
@@ -314,9 +314,9 @@
 	return true
 }
 
-// charged gives a delegation its charge: the first has the request's, a further
+// charged gives an attempt its charge: the first has the request's, a further
 // copy one of its own. What the budget does not allow is not sent: it never ran.
-func (l *loop) charged(d *memory.Delegation) bool {
+func (l *loop) charged(d *memory.Attempt) bool {
 	if l.book == nil {
 		return true
 	}
@@ -333,7 +333,7 @@
 	return true
 }
 
-// settle puts what a delegation used in the place of its charge.
+// settle puts what an attempt used in the place of its charge.
 func (l *loop) settle(e *ended) {
 	if l.book == nil {
 		return
@@ -349,7 +349,7 @@
 	if l.book == nil || r.In.Factor == 0 {
 		return
 	}
-	for _, d := range r.Delegations {
+	for _, d := range r.Attempts {
 		if !d.NeverRan {
 			return
 		}
@@ -357,7 +357,7 @@
 	l.books.TurnedAway(l.now, &r.In, r.Thought, r.Over)
 }
 
-// release settles a charge that no delegation had.
+// release settles a charge that no attempt had.
 func (l *loop) release(r *memory.Request) {
 	if l.book != nil {
 		l.books.Settle(l.now, r.ID, 0, &r.Charge, contract.Use{}, false)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,4 +1,4 @@
-// Package gateway is the gateway itself: the acceptor, which serves clients;
+// Package gateway is the gateway itself: the server, which serves clients;
 // the loop, which owns the decision module; and the tasks that carry out what
 // the module asks for. It never picks, retries or sheds by itself.
 package gateway
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,7 +43,7 @@
 		if diff := cmp.Diff(event2+loadLine, string(rest)); err != nil || diff != "" {
 			t.Fatal(err, diff)
 		}
-		until(t, "the delegation's end", func() bool { return g.clients.held() == 0 && len(g.loop.events) == 0 })
+		until(t, "the attempt's end", func() bool { return g.clients.held() == 0 && len(g.loop.events) == 0 })
 	}
 	r := w.got[1]
 	if r.Method != "POST" || r.RequestURI != "/v1/chat/completions?x=1" || r.Header.Get("Req-Id") != "a2" ||
@@ -234,7 +234,7 @@
 			r := memory.NewRequest(context.Background(), "o1", choice.Request{}, 0, 3)
 			store.Add(r)
 			now := g.clock.now()
-			d := store.Delegation(r, &memory.Worker{Instance: socket.Instance{Addr: addr}}, now, now+c.wait.Microseconds())
+			d := store.Attempt(r, &memory.Worker{Instance: socket.Instance{Addr: addr}}, now, now+c.wait.Microseconds())
 			if c.leave {
 				time.AfterFunc(50*time.Millisecond, d.Cancel)
 			}
@@ -244,7 +244,7 @@
 			}()
 			in, _ := http.NewRequest("POST", "/v1/chat/completions", nil)
 			in.RequestURI = "/v1/chat/completions"
-			go g.delegate(in, []byte("{}"), d, nil)
+			go g.attempt(in, []byte("{}"), d, nil)
 			for {
 				e, ok := (<-g.loop.events).(ended)
 				if !ok {
--- a/internal/gateway/gone_test.go
+++ b/internal/gateway/gone_test.go
@@ -116,10 +116,10 @@
 	r.Left, r.End = func() bool { return true }, end // the system knows, the server does not
 	store.Add(r)
 	now := g.clock.now()
-	d := store.Delegation(r, &memory.Worker{}, now, now+1e6)
+	d := store.Attempt(r, &memory.Worker{}, now, now+1e6)
 	d.Worker.Addr = l.Addr().String()
 	in, _ := http.NewRequest("POST", "/v1/chat/completions", nil)
-	go g.delegate(in, []byte("{}"), d, nil)
+	go g.attempt(in, []byte("{}"), d, nil)
 	if e := (<-g.loop.events).(ended); e.status != choice.Cancelled {
 		t.Errorf("status %v", e.status)
 	}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -164,18 +164,18 @@
 	// Its task has ended: orders that it did not take up have no other end, and
 	// the module would count them as out for ever.
 	for len(e.r.Actions) > 0 {
-		if a := <-e.r.Actions; a.Kind == memory.Delegate {
-			a.Delegation.Cancel()
-			ended{d: a.Delegation, status: choice.NotSent}.apply(l)
+		if a := <-e.r.Actions; a.Kind == memory.Begin {
+			a.Attempt.Cancel()
+			ended{d: a.Attempt, status: choice.NotSent}.apply(l)
 		}
 	}
 	l.release(e.r)
 	l.requests.Forget(e.r)
 }
 
-// opened says that a delegation's stream has begun. The first one is the
+// opened says that an attempt's stream has begun. The first one is the
 // client's; any other is of no more use.
-type opened struct{ d *memory.Delegation }
+type opened struct{ d *memory.Attempt }
 
 func (e opened) apply(l *loop) {
 	r := e.d.Request
@@ -186,12 +186,12 @@
 	r.Bound = e.d
 	// The others are called off before the client gets anything: nothing is sent for it from then on.
 	l.m.FirstToken(l.now, choice.Outcome{ID: r.ID, Attempt: e.d.N, Replica: e.d.Worker.ID, Elapsed: l.now - e.d.SentAt})
-	r.Actions <- memory.Action{Kind: memory.PassOn, Delegation: e.d}
+	r.Actions <- memory.Action{Kind: memory.PassOn, Attempt: e.d}
 }
 
-// ended is a delegation's one outcome.
+// ended is an attempt's one outcome.
 type ended struct {
-	d      *memory.Delegation
+	d      *memory.Attempt
 	status choice.Status
 	kept   int
 	tokens int
@@ -315,11 +315,11 @@
 	if w == nil { // the list has changed under the decision: it never ran
 		w = &memory.Worker{ID: to}
 	}
-	d := l.requests.Delegation(r, w, l.now, cutAt)
+	d := l.requests.Attempt(r, w, l.now, cutAt)
 	if !l.charged(d) {
 		return
 	}
-	r.Actions <- memory.Action{Kind: memory.Delegate, Delegation: d}
+	r.Actions <- memory.Action{Kind: memory.Begin, Attempt: d}
 }
 
 func (l *loop) Refuse(id choice.RequestID, retryAfter choice.Micros) {
@@ -342,10 +342,10 @@
 
 func (l *loop) Cancel(id choice.RequestID, attempt int) {
 	r := l.requests.Get(id)
-	if r == nil || attempt < 0 || attempt >= len(r.Delegations) {
+	if r == nil || attempt < 0 || attempt >= len(r.Attempts) {
 		return
 	}
-	if d := r.Delegations[attempt]; d != r.Bound { // a begun stream is the client's
+	if d := r.Attempts[attempt]; d != r.Bound { // a begun stream is the client's
 		d.Cancel()
 	}
 }
--- a/internal/gateway/acceptor.go
+++ b/internal/gateway/server.go
@@ -25,7 +25,7 @@
 	requestTimeout = 2500 * time.Millisecond // from the same moment to the body's last byte
 )
 
-// newServer is the acceptor: the client's side of the gateway.
+// newServer is the client's side of the gateway.
 func (g *Gateway) newServer() *http.Server {
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		conn := g.clients.of(r.Context())
@@ -167,13 +167,13 @@
 	defer end()
 	req := memory.NewRequest(ctx, job.ID, job.Request, sentAt+job.Wait, max(mostAttempts, g.o.Settings.MaxAttempts))
 	req.Left, req.End = conn.gone, end
-	answer, worker, delegations, first, retryAfter := "left", "", 0, choice.Micros(0), choice.Micros(0)
+	answer, worker, attempts, first, retryAfter := "left", "", 0, choice.Micros(0), choice.Micros(0)
 	defer func() {
 		if g.o.Ended != nil {
 			g.o.Ended(live.bad(&job, answer, first))
 		}
 		slog.LogAttrs(context.Background(), slog.LevelInfo, "request", slog.String("id", job.ID), slog.String("class", job.Request.Class),
-			slog.String("key", fmt.Sprintf("%016x", job.Request.Session)), slog.String("answer", answer), slog.Int("delegations", delegations),
+			slog.String("key", fmt.Sprintf("%016x", job.Request.Session)), slog.String("answer", answer), slog.Int("delegations", attempts),
 			slog.String("worker", worker), slog.Int64("wait_ms", job.Wait/1000), slog.Int64("first_ms", first/1000),
 			slog.Int64("total_ms", (g.clock.now()-sentAt)/1000), slog.Int64("retry_ms", retryAfter/1000))
 	}()
@@ -182,7 +182,7 @@
 		var a memory.Action
 		select {
 		case a = <-req.Actions:
-		case <-ctx.Done(): // its delegations end with it
+		case <-ctx.Done(): // its attempts end with it
 			g.loop.events <- left{req}
 			if hand.lost() {
 				answer = "lost"
@@ -191,12 +191,12 @@
 			return
 		}
 		switch a.Kind {
-		case memory.Delegate:
-			delegations++
-			g.send(r, body, a.Delegation, hand)
+		case memory.Begin:
+			attempts++
+			g.send(r, body, a.Attempt, hand)
 		case memory.PassOn:
-			worker, first = a.Delegation.Worker.Instance.ID, g.clock.now()-sentAt
-			whole := passOn(w, a.Delegation, hand)
+			worker, first = a.Attempt.Worker.Instance.ID, g.clock.now()-sentAt
+			whole := passOn(w, a.Attempt, hand)
 			if ctx.Err() != nil || hand.lost() {
 				g.loop.events <- left{req}
 			} else if whole {
@@ -230,10 +230,10 @@
 	}
 }
 
-// passOn gives the client a delegation's events, each as it comes, and tells
+// passOn gives the client an attempt's events, each as it comes, and tells
 // whether the stream came whole. A worker may send one event in several chunks, which are of no
 // use to the client alone: they go on together, or as far as they have come once they take too long.
-func passOn(w http.ResponseWriter, d *memory.Delegation, hand *hand) bool {
+func passOn(w http.ResponseWriter, d *memory.Attempt, hand *hand) bool {
 	defer d.Cancel()
 	out := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -27,7 +27,7 @@
 	rest    socket.Rest
 	passed  int64 // of the answer, in bytes, with what the client had
 	sum     hash.Hash32
-	running sync.WaitGroup // delegations
+	running sync.WaitGroup // attempts
 	mu      sync.Mutex
 	ran     bool // one may have run
 }
@@ -99,7 +99,7 @@
 		return
 	}
 	h.cancel()
-	go func() { // a delegation that is called off takes a moment to close its connection
+	go func() { // an attempt that is called off takes a moment to close its connection
 		h.running.Wait()
 		h.mu.Lock()
 		ran := h.ran
@@ -108,9 +108,9 @@
 	}()
 }
 
-// may tells whether a delegation may go out: the first of a hold is its own, any other
+// may tells whether an attempt may go out: the first of a hold is its own, any other
 // needs a permit.
-func (h *hand) may(d *memory.Delegation) bool {
+func (h *hand) may(d *memory.Attempt) bool {
 	if h == nil {
 		return true
 	}
@@ -123,7 +123,7 @@
 // mine tells whether the request is still this gateway's.
 func (h *hand) mine() bool { return h == nil || h.held.Mine(h.ctx) }
 
-// sends notes that a delegation goes out now.
+// sends notes that an attempt goes out now.
 func (h *hand) sends() {
 	if h != nil {
 		h.mu.Lock()
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -78,8 +78,8 @@
 	ctx := t.Context()
 	r := memory.NewRequest(ctx, "w1", choice.Request{Class: "chat"}, l.now+4e6, 3)
 	arrived{r, l.g.live.Load(), true}.apply(l)
-	first := (<-r.Actions).Delegation
-	second := l.requests.Delegation(r, l.registry.Named("s-2"), l.now, l.now+4e6)
+	first := (<-r.Actions).Attempt
+	second := l.requests.Attempt(r, l.registry.Named("s-2"), l.now, l.now+4e6)
 	l.m = callsOff{l.m, func() {
 		if len(r.Actions) != 0 {
 			t.Error("the stream is passed on before the others are called off")
@@ -91,7 +91,7 @@
 		t.Errorf("action %v, the twin's end %v", a.Kind, second.Ctx.Err())
 	}
 	// The other order: what begins to answer once another's stream is the client's ends at once.
-	third := l.requests.Delegation(r, l.registry.Named("s-2"), l.now, l.now+4e6)
+	third := l.requests.Attempt(r, l.registry.Named("s-2"), l.now, l.now+4e6)
 	opened{third}.apply(l)
 	if third.Ctx.Err() == nil || len(r.Actions) != 0 {
 		t.Error("a second stream goes on")
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -59,7 +59,7 @@
 
 	// Of the sockets, some are for the listener, the registry, the log and the
 	// runtime; a part is for connections that are only told that the gateway is
-	// full. Of the rest a client's request takes one, and its delegations one
+	// full. Of the rest a client's request takes one, and its attempts one
 	// each, mostly one in all.
 	ownSockets                           = 16
 	clientShare, spareShare, workerShare = 0.44, 0.03, 0.5
--- a/internal/memory/registry.go
+++ b/internal/memory/registry.go
@@ -1,5 +1,5 @@
 // Package memory holds what the gateway remembers: the workers that the
-// registry names, the connections to them, the requests and delegations out.
+// registry names, the connections to them, the requests and attempts out.
 package memory
 
 import (
@@ -16,7 +16,7 @@
 	socket.Instance
 	ID    choice.ReplicaID
 	Since choice.Micros // its last start on the gateway's clock; 0: long ago
-	out   *int          // own delegations that are out on it; kept while the list changes
+	out   *int          // own attempts that are out on it; kept while the list changes
 }
 
 // Key stands for this very process at its address: connections kept under it
@@ -25,7 +25,7 @@
 	return fmt.Sprintf("%s@%s/%d", w.Instance.ID, w.Addr, w.StartedAtMs)
 }
 
-// Out is how many delegations are out on it. The loop counts them.
+// Out is how many attempts are out on it. The loop counts them.
 func (w *Worker) Out() int {
 	if w.out == nil {
 		return 0
--- a/internal/memory/requests.go
+++ b/internal/memory/requests.go
@@ -12,8 +12,8 @@
 type ActionKind uint8
 
 const (
-	Delegate ActionKind = iota // send it to a worker
-	PassOn                     // the delegation's stream is the client's
+	Begin    ActionKind = iota // send it to a worker
+	PassOn                     // the attempt's stream is the client's
 	Overload                   // answer with an overload reply
 	Fail                       // answer with a failure
 	TurnAway                   // answer that it cannot be taken on
@@ -23,33 +23,33 @@
 // Action is one such order.
 type Action struct {
 	Kind       ActionKind
-	Delegation *Delegation   // for Delegate and PassOn
+	Attempt    *Attempt      // for Begin and PassOn
 	RetryAfter choice.Micros // for Overload and Contract; 0: no advice
 	Reason     string        // for Contract, for machines, and for TurnAway
 }
 
-// Request is a client's request while it is owed an answer or has delegations
+// Request is a client's request while it is owed an answer or has attempts
 // out. Its task reads Actions; all else belongs to the loop.
 type Request struct {
-	ID          choice.RequestID
-	Name        string // the client's own id of it
-	In          choice.Request
-	Ctx         context.Context // ends when the client leaves or is answered
-	Left        func() bool     // whether the client has closed its connection, asked of the system; nil: it cannot be asked
-	End         func()          // ends Ctx
-	Deadline    choice.Micros   // when the client gives up, on the gateway's clock
-	Actions     chan Action
-	Delegations []*Delegation
-	Bound       *Delegation     // whose stream the client gets
-	Done        bool            // finally answered, or the client has left
-	out         int             // delegations that have not ended
-	Charge      contract.Charge // until its first delegation has it
-	Thought     contract.Use    // what it was charged for
-	Over        bool            // it competes beyond its team's rate
+	ID       choice.RequestID
+	Name     string // the client's own id of it
+	In       choice.Request
+	Ctx      context.Context // ends when the client leaves or is answered
+	Left     func() bool     // whether the client has closed its connection, asked of the system; nil: it cannot be asked
+	End      func()          // ends Ctx
+	Deadline choice.Micros   // when the client gives up, on the gateway's clock
+	Actions  chan Action
+	Attempts []*Attempt
+	Bound    *Attempt        // whose stream the client gets
+	Done     bool            // finally answered, or the client has left
+	out      int             // attempts that have not ended
+	Charge   contract.Charge // until its first attempt has it
+	Thought  contract.Use    // what it was charged for
+	Over     bool            // it competes beyond its team's rate
 }
 
-// Delegation is one attempt of a request at a worker.
-type Delegation struct {
+// Attempt is one attempt of a request at a worker.
+type Attempt struct {
 	Request  *Request
 	N        int
 	Worker   *Worker
@@ -74,7 +74,7 @@
 func NewRequests() *Requests { return &Requests{byID: map[choice.RequestID]*Request{}} }
 
 // NewRequest makes the record of a request. The module sends at most
-// maxAttempts delegations, of which one is bound, and one final answer: so many
+// maxAttempts attempts, of which one is bound, and one final answer: so many
 // actions never block the loop.
 func NewRequest(ctx context.Context, name string, in choice.Request, deadline choice.Micros, maxAttempts int) *Request {
 	return &Request{Name: name, In: in, Ctx: ctx, Deadline: deadline, Actions: make(chan Action, maxAttempts+2)}
@@ -105,18 +105,18 @@
 // Len is the number of requests in hand.
 func (s *Requests) Len() int { return len(s.byID) }
 
-// Delegation enters a new delegation of r.
-func (s *Requests) Delegation(r *Request, w *Worker, now, cutAt choice.Micros) *Delegation {
-	d := &Delegation{Request: r, N: len(r.Delegations), Worker: w, SentAt: now, CutAt: cutAt, Events: make(chan []byte)}
+// Attempt enters a new attempt of r.
+func (s *Requests) Attempt(r *Request, w *Worker, now, cutAt choice.Micros) *Attempt {
+	d := &Attempt{Request: r, N: len(r.Attempts), Worker: w, SentAt: now, CutAt: cutAt, Events: make(chan []byte)}
 	d.Ctx, d.Cancel = context.WithCancel(r.Ctx)
-	r.Delegations = append(r.Delegations, d)
+	r.Attempts = append(r.Attempts, d)
 	r.out++
 	w.count(1)
 	return d
 }
 
-// Ended notes the end of a delegation and tells whether it is news.
-func (s *Requests) Ended(d *Delegation) bool {
+// Ended notes the end of an attempt and tells whether it is news.
+func (s *Requests) Ended(d *Attempt) bool {
 	if d.ended {
 		return false
 	}
@@ -133,7 +133,7 @@
 		if r.Charge.Open() {
 			each(id, 0, &r.Charge)
 		}
-		for _, d := range r.Delegations {
+		for _, d := range r.Attempts {
 			if d.Charge.Open() {
 				each(id, d.N, &d.Charge)
 			}
