Cold replicas: the part of the wants that one replica draws is seen, not taken for even

Cause, shown by a new row of TestSumAtColdReplicas: the chance by which attempts are let in took each of c cold replicas for wanted by a c-th. Lines: guard.go, coldAllows. Change: a replica's own part of what wanted any cold one, seen over the same 4 s but for the attempt at hand, with two attempts taken for even before (coldEven).

--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -16,6 +16,7 @@
 	uneven                   bool    // some gateways get eight times what others do
 	hungry                   bool    // cold replicas look empty whatever they have
 	util                     float64 // how busy warm replicas say they are; 0: they do not say
+	one                      bool    // of the cold replicas all want the same one, the others look full
 }
 
 // play gives the times and the work, in requests of mean work, of what cold replicas are sent.
@@ -74,7 +75,7 @@
 				row := b.byID[w]
 				inFlight := 8.0
 				if now < row.coldUntil {
-					if inFlight *= b.warmth(now, row); f.hungry {
+					if inFlight *= b.warmth(now, row); f.hungry && (!f.one || w == 1) {
 						inFlight = 0
 					}
 				}
@@ -85,7 +86,11 @@
 				b.ProbeEnded(now+2000, Outcome{Replica: w, Status: Served, Report: report})
 			}
 			if f.hungry { // and the others full
-				for _, w := range b.rows[f.cold:] {
+				full := b.rows[f.cold:]
+				if f.one {
+					full = b.rows[1:]
+				}
+				for _, w := range full {
 					w.held, w.charge, w.reportAt = 1e6, 1e6, now
 				}
 			}
@@ -136,9 +141,10 @@
 // came to three times that.
 func TestSumAtColdReplicas(t *testing.T) {
 	for _, f := range []coldFleet{
-		{3, 12, 4, 25, false, true, 0}, {3, 12, 4, 25, true, false, 0}, {20, 16, 5, 60, true, true, 0}, {20, 40, 1, 80, false, true, 0},
-		{30, 12, 6, 30, true, true, 0}, {30, 40, 24, 120, true, true, 0}, {30, 40, 24, 120, false, false, 0.6}, {30, 40, 24, 120, true, true, 0.6},
-		{300, 60, 36, 300, true, true, 0}, {300, 60, 6, 300, true, false, 0.6},
+		{3, 12, 4, 25, false, true, 0, false}, {3, 12, 4, 25, true, false, 0, false}, {20, 16, 5, 60, true, true, 0, false}, {20, 40, 1, 80, false, true, 0, false},
+		{30, 12, 6, 30, true, true, 0, false}, {30, 40, 24, 120, true, true, 0, false}, {30, 40, 24, 120, false, false, 0.6, false}, {30, 40, 24, 120, true, true, 0.6, false},
+		{300, 60, 36, 300, true, true, 0, false}, {300, 60, 6, 300, true, false, 0.6, false},
+		{30, 12, 6, 60, true, true, 0, true},
 	} {
 		t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
 			t.Parallel()
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -21,6 +21,9 @@
 	// coldPrior is how many attempts are taken to have wanted cold replicas before any was
 	// seen, and coldFades over how many seconds what was seen fades.
 	coldPrior, coldFades = 1.0, 4.0
+	// coldEven is how many attempts are taken to have wanted cold replicas evenly before it was
+	// seen which of them are wanted.
+	coldEven = 2.0
 	// leastUtil bounds what reports of how busy warm replicas are may tell of their room.
 	leastUtil = 0.5
 	// lateMost is the share of late requests from which less is admitted, and
@@ -56,7 +59,9 @@
 // replicas, N is FallMultiple * warmth * R / n. An attempt that would go to w for its least
 // load is let in with such a chance that coldCare * N are in the mean, however many gateways
 // there are and whatever each gets, and by chance as a Poisson count has it: the share of all
-// attempts that want some cold replica is seen, and taken for all until enough was. A heavy
+// attempts that want some cold replica is seen, and taken for all until enough was; so is
+// w's part of those, and taken for even until enough was: one that looks best to all draws
+// what the others do not. A heavy
 // request is let in by the square of its work less often: by its work, and that it scatters
 // the sum no more than others. Nothing is saved up.
 func (b *Balancer) coldAllows(now Micros, w *row, r *request) bool {
@@ -66,7 +71,8 @@
 	if b.util > 0 { // what replicas can do is more than what they get
 		share /= math.Max(leastUtil, math.Min(1, b.util))
 	}
-	return b.random()*wanted < share*float64(b.cold)/float64(max(1, b.ready))
+	part := (coldEven/float64(max(1, b.cold)) + w.coldWants - 1) / (coldEven + b.coldWon - 1) // but for this one
+	return b.random()*wanted*part < share/float64(max(1, b.ready))
 }
 
 // noteCold counts an attempt while replicas are cold, and whether it would go to one of them.
@@ -76,6 +82,7 @@
 	}
 	if cold = w != nil && now < w.coldUntil; cold {
 		b.coldWon++
+		w.coldWants++
 	}
 	return cold
 }
@@ -361,6 +368,9 @@
 	// comes sees too little to find out that the jam is over.
 	b.coldSeen *= 1 - math.Min(1, dt/coldFades)
 	b.coldWon *= 1 - math.Min(1, dt/coldFades)
+	for _, w := range b.rows {
+		w.coldWants *= 1 - math.Min(1, dt/coldFades)
+	}
 	b.late *= 1 - math.Min(1, dt/lateFades)
 	b.pace *= 1 - math.Min(1, dt/lateFades)
 	b.openMean += math.Min(1, dt/2) * (b.openTokens - b.openMean)
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -547,6 +547,7 @@
 	whole(a, 28, &w.coldFrom)
 	whole(a, 29, &w.coldUntil)
 	whole(a, 31, &w.provedAt)
+	a.float(32, &w.coldWants)
 	a.skip(23, 30) // what a cold one was sent, in builds before 1.4
 	w.hash = mix(uint64(w.id))
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -141,6 +141,8 @@
 	probed   Micros
 	provedAt Micros // when it was last known to take work: a send that it took or a probe that it answered
 	coldFrom Micros
+
+	coldWants float64 // attempts that wanted it while it was cold, fading
 }
 
 // candidate is a row as a pick weighed it.
