--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -146,24 +146,34 @@
 		{300, 60, 36, 300, true, true, 0, false}, {300, 60, 6, 300, true, false, 0.6, false},
 		{30, 12, 6, 60, true, true, 0, true},
 	} {
-		t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
-			t.Parallel()
-			largest, broken, used, seeds := 0.0, 0, 0.0, uint64(8)
-			if f.gateways == 300 {
-				seeds = 2
-			}
-			for seed := range seeds {
-				most, over, share := f.excess(eighty(), f.play(t, seed))
-				largest, used = math.Max(largest, most), used+share/float64(seeds)
-				broken += int(one(over))
-			}
-			t.Logf("largest excess %.2f roots of N; %.1f%% of all went to cold ones, %.0f%% of the fleet", largest, 100*used, 100*float64(f.cold)/float64(f.replicas))
-			if broken > 0 {
-				t.Errorf("over N + 2 roots of N + 2 in %d of %d runs; largest excess %.2f roots", broken, seeds, largest)
-			}
-			if used == 0 {
-				t.Error("a cold replica never gets anything")
-			}
-		})
+		t.Run(fmt.Sprintf("%+v", f), f.holds)
+	}
+}
+
+// The same where all want one of many cold replicas: each gateway's first wants come before it has
+// learnt that. Known to fail: KNOWN-RED.txt.
+func TestSumWhereOneColdReplicaIsWanted(t *testing.T) {
+	for _, f := range []coldFleet{{6, 12, 4, 60, true, true, 0, true}, {30, 40, 24, 120, true, true, 0.6, true}} {
+		t.Run(fmt.Sprintf("%+v", f), f.holds)
+	}
+}
+
+func (f coldFleet) holds(t *testing.T) {
+	t.Parallel()
+	largest, broken, used, seeds := 0.0, 0, 0.0, uint64(8)
+	if f.gateways == 300 {
+		seeds = 2
+	}
+	for seed := range seeds {
+		most, over, share := f.excess(eighty(), f.play(t, seed))
+		largest, used = math.Max(largest, most), used+share/float64(seeds)
+		broken += int(one(over))
+	}
+	t.Logf("largest excess %.2f roots of N; %.1f%% of all went to cold ones, %.0f%% of the fleet", largest, 100*used, 100*float64(f.cold)/float64(f.replicas))
+	if broken > 0 {
+		t.Errorf("over N + 2 roots of N + 2 in %d of %d runs; largest excess %.2f roots", broken, seeds, largest)
+	}
+	if used == 0 {
+		t.Error("a cold replica never gets anything")
 	}
 }
