--- a/cmd/archknot/main_test.go
+++ b/cmd/archknot/main_test.go
@@ -32,7 +32,7 @@
 	event  = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"},\"finish_reason\":null}]}\n\n"
 	done   = "data: [DONE]\n\n"
 	config = `{"name":"g","listen":"%s","discovery":"%s","limits":{"cores":1,"memory_mb":32,"sockets":%d},
- %s"settings":{"nInstances":1,"zone":"a","zones":["a"],"limits":{"maxAttempts":3,"connIdleUs":60000000,"connectTimeoutUs":500000,"mostHeld":2000},
+ %s"settings":{"nInstances":%d,"selfIndex":%d,"zone":"a","zones":["a"],"limits":{"maxAttempts":3,"connIdleUs":60000000,"connectTimeoutUs":500000,"mostHeld":2000},
   "rules":{"askWithinUs":10000000,"startCapacity":0.5},"requestClasses":[{"name":"chat","targetUs":1000000,"deadlineUs":6000000,"effect":"repeatable","streamed":true}]}}`
 )
 
@@ -114,6 +114,12 @@
 
 // run starts the program with so many descriptors, with the list as last held or without.
 func (f *fleet) run(t *testing.T, sockets int, known bool) *program {
+	t.Helper()
+	return f.runOne(t, sockets, known, 0, 1)
+}
+
+// runOne starts the self-th of so many programs.
+func (f *fleet) runOne(t *testing.T, sockets int, known bool, self, of int) *program {
 	t.Helper()
 	p := &program{addr: address(t), exited: make(chan error, 1)}
 	list := ""
@@ -121,7 +127,7 @@
 		list = fmt.Sprintf(`"known":{"generation":0,"reset":true,"instances":[%s]},`, f.entry("ready"))
 	}
 	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, fmt.Appendf(nil, config, p.addr, f.discovery, sockets, list), 0o600); err != nil {
+	if err := os.WriteFile(path, fmt.Appendf(nil, config, p.addr, f.discovery, sockets, list, of, self), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", sockets, os.Args[0]))
@@ -320,6 +326,44 @@
 	p.ends(t)
 }
 
+// Twenty processes that all start anew, without a list and with discovery down, are ready, nine in
+// ten of them, within 10 s of its return; with the list as last held they are while it is down.
+func TestTwentyStartTogether(t *testing.T) {
+	for name, known := range map[string]bool{"with the list as last held": true, "without a list": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const all = 20
+			f := newFleet(t)
+			var programs []*program
+			for i := range all {
+				programs = append(programs, f.runOne(t, 128, known, i, all))
+			}
+			status := func(want int) (n int) {
+				for _, p := range programs {
+					if p.status() == want {
+						n++
+					}
+				}
+				return n
+			}
+			begun := time.Now()
+			if !known {
+				until(t, "all up, none ready", func() bool { return status(503) == all })
+				f.discover(t, "ready")
+				begun = time.Now()
+			}
+			until(t, "nine in ten ready", func() bool { return status(200) >= all*9/10 })
+			t.Logf("nine in ten ready after %v", time.Since(begun).Round(10*time.Millisecond))
+			for _, p := range programs {
+				p.signal(t, syscall.SIGTERM)
+			}
+			for _, p := range programs {
+				p.ends(t)
+			}
+		})
+	}
+}
+
 // A reload with odd settings changes nothing: the running ones go on, and the process with them.
 func TestOddReload(t *testing.T) {
 	f := newFleet(t)
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -1,7 +1,12 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,3 +112,70 @@
 	c.off()
 	c.Module.FirstToken(now, o)
 }
+
+// What discovery answers oddly is a failed call: no list, no connection kept, and no longer than the
+// call's time, however it trickles. A good list comes whole, also indented; a second one behind it
+// is nobody's.
+func TestOddLists(t *testing.T) {
+	const list = "{\n \"generation\": 7,\n \"reset\": true,\n \"instances\": [\n  {\"instanceId\": \"s-1\", \"hostPort\": \"127.0.0.1:1\", \"lifecycle\": \"ready\"}]}"
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+	for name, c := range map[string]struct {
+		text  string
+		hangs bool // the connection stays open behind it
+		good  bool
+		kept  int
+	}{
+		"whole, indented": {whole, true, true, 1},
+		"in chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list[:9]) + chunk(list[9:]) + lastChunk, true, true, 1},
+		"doubled":         {whole + whole, true, true, 0},
+		"then closed":     {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + list, false, true, 0},
+		"cut":             {whole[:len(whole)-5], false, false, 0},
+		"half, then mute": {whole[:len(whole)-5], true, false, 0},
+		"mute":            {"", true, false, 0},
+		"half a head":     {"HTTP/1.1 200 OK\r\nContent-Len", true, false, 0},
+		"an endless head": {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20), true, false, 0},
+		"an endless body": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk(strings.Repeat(" ", 60_000)), 40), true, false, 0},
+		"a spoilt chunk":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", true, false, 0},
+		"spoilt within":   {strings.Replace(whole, "\"reset\"", "\"re}et,", 1), true, false, 1},
+		"noise":           {"\x00\x01\x02\x03\x04\x05\x06\x07\n\n", true, false, 0},
+		"refused":         {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", true, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				io.WriteString(conn, c.text)
+				if c.hangs {
+					io.Copy(io.Discard, conn)
+				}
+			}()
+			g, err := New(options())
+			if err != nil {
+				t.Fatal(err)
+			}
+			begun := time.Now()
+			got, err := g.callRegistry(t.Context(), l.Addr().String(), socket.ListPath, 300*time.Millisecond)
+			if c.good != (err == nil) || c.good && (got.Generation != 7 || len(got.Instances) != 1) {
+				t.Errorf("%+v, %v", got, err)
+			}
+			if d := time.Since(begun); d > 2*time.Second {
+				t.Errorf("after %v", d)
+			}
+			if n := g.registry.pool.Open(); n != c.kept {
+				t.Errorf("%d connections kept, want %d", n, c.kept)
+			}
+		})
+	}
+}
