Read over: one step ends a resting connection, for a drain and for a test alike

clients.go had end, which only tests called, and each, which did the same for the program. Now drain and endUnused call end. No behaviour changes.

--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -179,12 +179,12 @@
 	return c.Conn.Write(p)
 }
 
-// end ends a connection on which nothing of a request has come, and tells whether it did. Its
-// task then reads its end and closes it.
-func (c *clientConn) end() bool {
+// end ends a connection on which nothing of a request has come, of those that were used before or
+// of those that were not, and tells whether it did. Its task then reads its end and closes it.
+func (c *clientConn) end(used bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.first == 0 && c.endNow()
+	return c.used == used && c.first == 0 && c.endNow()
 }
 
 // endNow ends the connection unless something waits to be read. It is called under mu.
@@ -347,20 +347,15 @@
 // drain ends what rests; from now on a connection ends once it does.
 func (c *clients) drain() {
 	c.draining.Store(true)
-	c.each(func(conn *clientConn) bool { return conn.used })
+	for _, conn := range c.all() {
+		conn.end(true)
+	}
 }
 
 // endUnused ends connections on which nothing was ever sent.
-func (c *clients) endUnused() { c.each(func(conn *clientConn) bool { return !conn.used }) }
-
-// each ends the connections on which nothing of a request has come, of those meant.
-func (c *clients) each(meant func(*clientConn) bool) {
+func (c *clients) endUnused() {
 	for _, conn := range c.all() {
-		conn.mu.Lock()
-		if conn.first == 0 && meant(conn) {
-			conn.endNow()
-		}
-		conn.mu.Unlock()
+		conn.end(false)
 	}
 }
 
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -52,7 +52,7 @@
 		"bytes unread, then the end": func(t *testing.T, conn *clientConn, c *client) {
 			c.raw(half)
 			waiting(t, conn)
-			if conn.end() || conn.giveWay() {
+			if conn.end(true) || conn.giveWay() {
 				t.Error("ended over bytes that had come")
 			}
 			if got, err := read(conn); got != half || err != nil {
@@ -64,12 +64,12 @@
 			if got, err := read(conn); got != half || err != nil {
 				t.Errorf("read %q, %v", got, err)
 			}
-			if conn.end() {
+			if conn.end(true) {
 				t.Error("ended under a request that had begun")
 			}
 		},
 		"the end, then bytes": func(t *testing.T, conn *clientConn, c *client) {
-			if !conn.end() {
+			if !conn.end(true) {
 				t.Error("a resting connection does not end")
 			}
 			c.raw(half + rest)
@@ -136,7 +136,7 @@
 			conn.rested(conn.clients.clock.now())
 			c.raw("\n")
 			read(conn)
-			if conn.first != 0 || !conn.end() {
+			if conn.first != 0 || !conn.end(true) {
 				t.Error("an empty line is taken for a request")
 			}
 		},
