The captures' version test names format 1.5

TestVersions wants the message to name the version that was met, 9 and the minor version of this build. The check is as strict as before, with the number that is now written.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -407,7 +407,7 @@
 	run, _, _ := recorded(t, 15, 0, 4)
 	path := run.Segments[0].Path
 	_, err := capture.Find(reheaded(t, path, func(h *pb.Header) { h.Major = 9 }))
-	if !errors.Is(err, capture.ErrVersion) || !strings.Contains(err.Error(), "version 9.4") {
+	if !errors.Is(err, capture.ErrVersion) || !strings.Contains(err.Error(), "version 9.5") {
 		t.Errorf("another major version: %v", err)
 	}
 	// A later minor version: fields that this build does not know are no harm.
