Read over: the test harness asks the program's own peek; one case for two of a drain's meetings

internal/hold had a peek and a Waiting of its own, which stand in internal/memory: it calls those. Two cases of TestDrainMeetsARequest differed in how many bytes had been read: one maker serves both.

--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"archknot/internal/hold"
+	"archknot/internal/memory"
 )
 
 // accept is one accepted connection before any server reads it, with its client.
@@ -46,7 +47,7 @@
 	}
 	waiting := func(t *testing.T, c *clientConn) {
 		t.Helper()
-		until(t, "bytes that wait", c.Conn.(*hold.Conn).Waiting)
+		until(t, "bytes that wait", func() bool { return memory.Waiting(c.Conn) })
 	}
 	for name, play := range map[string]func(t *testing.T, conn *clientConn, c *client){
 		"bytes unread, then the end": func(t *testing.T, conn *clientConn, c *client) {
@@ -171,26 +172,22 @@
 	ask := func(id string) string {
 		return strings.Replace(half, "Req-Id: x", "Req-Id: "+id, 1) + rest
 	}
-	for name, play := range map[string]func(t *testing.T, c *client, conn *hold.Conn, drain func()) (sends int){
-		"its first bytes were read": func(t *testing.T, c *client, conn *hold.Conn, drain func()) int {
+	type meeting func(t *testing.T, c *client, conn *hold.Conn, drain func()) (sends int)
+	read := func(n int) meeting { // so many bytes of it were, and nothing done with them yet
+		return func(t *testing.T, c *client, conn *hold.Conn, drain func()) int {
 			behind := hold.NewPoint(t)
 			conn.Behind(behind)
-			c.raw(ask("b")[:7])
+			c.raw(ask("b")[:n])
 			behind.Await(t)
 			drain()
 			behind.Release()
-			c.raw(ask("b")[7:])
+			c.raw(ask("b")[n:])
 			return 2
-		},
-		"all of it was read": func(t *testing.T, c *client, conn *hold.Conn, drain func()) int {
-			behind := hold.NewPoint(t)
-			conn.Behind(behind)
-			c.raw(ask("b"))
-			behind.Await(t)
-			drain()
-			behind.Release()
-			return 2
-		},
+		}
+	}
+	for name, play := range map[string]meeting{
+		"its first bytes were read": read(7),
+		"all of it was read":        read(len(ask("b"))),
 		"all of it has come and none was read": func(t *testing.T, c *client, conn *hold.Conn, drain func()) int {
 			before := hold.NewPoint(t)
 			conn.Before(before)
@@ -401,7 +398,7 @@
 	if _, err := io.ReadFull(conn, make([]byte, len(half+rest))); err != nil {
 		t.Fatal(err)
 	}
-	until(t, "a byte", conn.Conn.(*hold.Conn).Waiting)
+	until(t, "a byte", func() bool { return memory.Waiting(conn.Conn) })
 	conn.Write([]byte("answer"))
 	go conn.Close()
 	until(t, "the close", func() bool { return cs.lingering.Load() == 1 })
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"archknot/internal/memory"
 )
 
 // most bounds each wait of a test.
@@ -101,22 +103,6 @@
 // Behind has the reader stop when it has read bytes, before it does anything with them.
 func (c *Conn) Behind(p *Point) { c.behind.Store(p) }
 
-// Waiting tells whether bytes have come that were not read.
-func (c *Conn) Waiting() bool {
-	raw, err := c.TCPConn.SyscallConn()
-	n := 0
-	if err == nil {
-		_ = raw.Control(func(fd uintptr) { n = peek(fd) })
-	}
-	return n > 0
-}
-
-func peek(fd uintptr) int {
-	var b [1]byte
-	n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n
-}
-
 // SyscallConn is how the program's connections are read.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	raw, err := c.TCPConn.SyscallConn()
@@ -131,12 +117,12 @@
 func (r *rawConn) Read(f func(uintptr) bool) error {
 	behind := false
 	err := r.RawConn.Read(func(fd uintptr) bool {
-		if p := r.conn.before.Load(); p != nil && peek(fd) > 0 {
+		if p := r.conn.before.Load(); p != nil && some(fd) {
 			p.Stop()
 		}
-		some := peek(fd) > 0
+		come := some(fd)
 		done := f(fd)
-		behind = done && some
+		behind = done && come
 		return done
 	})
 	if p := r.conn.behind.Load(); p != nil && behind {
@@ -144,3 +130,9 @@
 	}
 	return err
 }
+
+// some tells whether bytes have come that were not read.
+func some(fd uintptr) bool {
+	n, err := memory.Peek(int(fd))
+	return err == nil && n > 0
+}
