Two tests wait for what they rely on: processes that are up, a socket that listens

TestRecordingOnSIGHUP took the first segment for a sign that the socket for orders listens; that is opened later in the same reload ("connection refused"), which a busy machine shows. It waits for that too. All checks and bounds stay as they were; the program is not changed.

--- a/cmd/archknot/main_test.go
+++ b/cmd/archknot/main_test.go
@@ -354,6 +354,7 @@
 			}
 			until(t, "nine in ten ready", func() bool { return status(200) >= all*9/10 })
 			t.Logf("nine in ten ready after %v", time.Since(begun).Round(10*time.Millisecond))
+			until(t, "all up", func() bool { return status(0) == 0 }) // before, the signal's default would end one
 			for _, p := range programs {
 				p.signal(t, syscall.SIGTERM)
 			}
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -246,6 +246,13 @@
 	put(file, "[capture]\nrecord on\ndirectory "+filepath.Join(dir, "cap")+"\nflush 10ms\n[control]\nsocket "+socket+"\n")
 	hup()
 	wait("recording", func() bool { return len(segments()) == 1 })
+	wait("the socket for orders", func() bool { // it listens later in the same reload
+		c, err := net.Dial("unix", socket)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
 	var a SaveAnswer
 	if err := control.Call(t.Context(), socket, "capture/save", SaveOrder{Reason: "a test"}, &a); err != nil || a.Segments != 1 {
 		t.Errorf("saved %+v, %v", a, err)
