The favour of a cold offer counts where rows are passed by early; a list may be a part, a home told

Cause: table.go, scan. A row is passed by early where its score without noise and guard is over the short list's last; the favour of an offered cold replica makes the guard less than 1, and replay, which weighs all rows, took such a one. Mend: the favour counts there too. TestVersions names the format's number and follows it to 1.6. Change beside it, without effect on decisions while lists name all: ServerList.Fleet (how many replicas take work in all, where the lists name a part; gateways that share a replica are counted by it) and Request.Home (where a request is at home by all gateways' reckoning). Figures asked for by others: Open, ReportAge, PrefixShare.

--- a/choice/api.go
+++ b/choice/api.go
@@ -149,6 +149,9 @@
 	Kind    ListKind
 	Version int64
 	Members []Member
+	// Fleet is how many replicas take work in all, where the lists name a part of them to this
+	// gateway and other parts to others; 0: the lists name all.
+	Fleet int
 }
 
 // Request is one try of a client; exactly one final answer is owed for it.
@@ -158,6 +161,9 @@
 	TimeLeft                              Micros // until the client gives this try up
 	PromptTokens, PrefixTokens, MaxTokens int
 	Session, Prefix                       uint64 // 0: none
+	// Home is the replica that all gateways agree to keep the request's session or prefix at;
+	// 0: it is found among the replicas listed.
+	Home ReplicaID
 	// Factor is what a contract makes of the class's worth; 0: there is none, and
 	// the tenant's quota counts.
 	Factor float64
--- a/choice/discovery.go
+++ b/choice/discovery.go
@@ -50,6 +50,7 @@
 	for _, m := range l.Members {
 		b.listed(now, m, !b.firstList)
 	}
+	b.fleet = l.Fleet
 	if l.Kind.Heard() {
 		b.firstList = true
 	}
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -211,7 +211,7 @@
 	w.fails++
 	many := 1.0
 	if b.sparse() {
-		many = float64(b.s.Gateways) / sparseFrom
+		many = b.sharers() / sparseFrom
 	}
 	rests := site.Rests{First: backoffFirst, Most: backoffMost}
 	w.retryAt = now + rests.Rest(w.fails, s != Errored, many, b.random())
--- a/choice/inspect.go
+++ b/choice/inspect.go
@@ -25,6 +25,30 @@
 	return out
 }
 
+// Open is how many attempts are out at a replica.
+func (b *Balancer) Open(id ReplicaID) int {
+	if w := b.byID[id]; w != nil {
+		return len(w.open)
+	}
+	return 0
+}
+
+// ReportAge is how old the last report of a replica's load is, if there is one.
+func (b *Balancer) ReportAge(now Micros, id ReplicaID) (age Micros, known bool) {
+	w := b.byID[id]
+	if w == nil || w.reportAt < 0 {
+		return 0, false
+	}
+	return now - w.reportAt, true
+}
+
+// PrefixShare is a low estimate of a prefix's share of the requests: while few were seen, one sight
+// says little.
+func (b *Balancer) PrefixShare(prefix uint64) float64 {
+	const few = 32.0 // requests
+	return b.popular[prefix] / (b.popTotal + few)
+}
+
 // Figures are sizes of the state, and what the module has learnt.
 type Figures struct {
 	Rows, Requests, Sessions, Prefixes, Open int
--- a/choice/learn.go
+++ b/choice/learn.go
@@ -102,7 +102,7 @@
 	if in.Has&HasInFlight != 0 {
 		tokens = in.InFlight * b.meanHold
 	} else if b.ready > 0 { // own tokens out, times the gateways, spread evenly
-		tokens = b.openTokens * float64(b.s.Gateways) / float64(b.ready)
+		tokens = b.openTokens * b.sharers() / float64(b.ready)
 	}
 	if tokens < b.meanHold/2 {
 		return
--- a/choice/snapshot.go
+++ b/choice/snapshot.go
@@ -332,6 +332,7 @@
 	a.float(18, &t.slotShare)
 	whole(a, 19, &t.cold)
 	a.float(20, &t.util)
+	whole(a, 21, &t.fleet)
 }
 
 func (b *Balancer) archiveGuard(a *archive) {
@@ -449,6 +450,7 @@
 		whole(s, 21, &at)
 		s.float(22, &r.Factor)
 		whole(s, 23, &r.Spent)
+		whole(s, 24, &r.Home)
 		if !s.saving {
 			b.requests[r.ID] = r
 			switch {
--- a/choice/state.go
+++ b/choice/state.go
@@ -70,6 +70,7 @@
 	myZone int
 	kinds  []kindStats
 
+	fleet      int     // replicas that take work in all; 0: those that are listed
 	ready      int     // replicas listed as ready
 	cold       int     // those of them that are cold
 	meanLoad   float64 // mean of slowness x held tokens over fresh rows
--- a/choice/table.go
+++ b/choice/table.go
@@ -135,15 +135,16 @@
 	phash := mix(r.Prefix)
 	perReplica := 0.0
 	if b.ready > 0 {
-		perReplica = b.sendRate * float64(b.s.Gateways) / float64(b.ready)
+		perReplica = b.sendRate * b.sharers() / float64(b.ready)
 	}
 	sights := (b.popular[r.Prefix] / math.Max(1, b.popTotal)) * perReplica / math.Min(1, threshold)
-	peers := float64(b.s.Gateways-1) / float64(b.s.Gateways) * b.meanLoad
+	sharers := b.sharers()
+	peers := (sharers - 1) / sharers * b.meanLoad
 	invLife := 1 / math.Max(1, b.lifetime)
 	// A report that reaches all gateways alike is shared among them. Where each asks for
 	// its own as it needs them, no two have the same; and moved for every small
 	// difference, sessions scatter and nothing is kept.
-	sparse, crowd, read, trust := b.sparse(), float64(b.s.Gateways), readCost, b.keptTrust
+	sparse, crowd, read, trust := b.sparse(), sharers, readCost, b.keptTrust
 	if sparse {
 		crowd, read, trust = 1, b.readWeight(), math.Max(trust, trustLeast)
 	}
@@ -155,7 +156,7 @@
 			continue
 		}
 		kept := 0.0
-		if r.Prefix != 0 && (threshold >= 1 || unit(mix(phash^w.hash)) < threshold || w == home) {
+		if r.Prefix != 0 && (w == home || r.Home == 0 && (threshold >= 1 || unit(mix(phash^w.hash)) < threshold)) {
 			kept = prefix * b.seen(now, w, sights)
 		}
 		if w == holder {
@@ -187,9 +188,12 @@
 		// sends of peers that it cannot show yet are a noise of their own.
 		noise := fresh * b.random() * b.meanHold
 		reading := read * b.kinds[w.kind].first * (prompt - kept)
-		// Noise and guard only add: most rows need neither to be behind the short list.
-		if worst := &b.short[shortList-1]; worst.row != nil && b.judge == nil &&
-			w.slow*(held+hold)+reading >= worst.score {
+		// Noise and guard only add, but for the favour: most rows need neither to be behind the short list.
+		least := w.slow*(held+hold) + reading
+		if now < w.coldUntil {
+			least *= coldFavor
+		}
+		if worst := &b.short[shortList-1]; worst.row != nil && b.judge == nil && least >= worst.score {
 			continue
 		}
 		if noise > 0 {
@@ -228,6 +232,15 @@
 	return b.s.Gateways > sparseFrom && b.s.MayProbe && b.s.ReportVia != ReportNone
 }
 
+// sharers is how many gateways send to a replica: all of them, or as many as have it on their
+// parts of the list.
+func (b *Balancer) sharers() float64 {
+	if b.fleet <= b.ready {
+		return float64(b.s.Gateways)
+	}
+	return math.Max(1, float64(b.s.Gateways)*float64(b.ready)/float64(b.fleet))
+}
+
 // wildcard puts a replica drawn by chance in the last place of the short list, the cold one
 // that is offered before others: of one that no reckoning favours, as of one that is new,
 // nothing would ever be heard.
@@ -287,7 +300,7 @@
 	if r.Prefix == 0 || b.popTotal <= 0 || b.ready == 0 {
 		return 1
 	}
-	unseen := math.Max(1, float64(b.s.Gateways)/2-1)
+	unseen := math.Max(1, b.sharers()/2-1)
 	spread := homeSpread
 	if b.sparse() {
 		spread *= math.Max(1, float64(r.PromptTokens)/math.Max(1, float64(r.PrefixTokens)))
@@ -307,6 +320,9 @@
 			}
 		}
 	}
+	if r.Home != 0 {
+		return b.readyRow(r.Home), nil, holder, tokens
+	}
 	key := r.Session
 	if key == 0 {
 		key = r.Prefix
@@ -352,6 +368,14 @@
 	return home, b.otherKind(home, second), holder, tokens
 }
 
+// readyRow is the row of a replica that takes work, nil if there is none.
+func (b *Balancer) readyRow(id ReplicaID) *row {
+	if w := b.byID[id]; w != nil && w.state == MemberReady {
+		return w
+	}
+	return nil
+}
+
 // otherKind is the second home: the first on another kind of machines than home's, if there is
 // one. What leaves its home leaves it most often for machines that read faster or are less
 // loaded as a kind, from all gateways; each turn at another one of these found nothing kept.
--- a/internal/capture/convert.go
+++ b/internal/capture/convert.go
@@ -46,17 +46,18 @@
 	to.Class, to.Tenant, to.TimeLeftUs, to.Name = append(to.Class[:0], in.Class...), append(to.Tenant[:0], in.Tenant...), in.TimeLeft, text(name)
 	to.PromptTokens, to.PrefixTokens, to.MaxTokens = int64(in.PromptTokens), int64(in.PrefixTokens), int64(in.MaxTokens)
 	to.Session, to.Prefix, to.Factor, to.Spent = in.Session, in.Prefix, in.Factor, int64(in.Spent)
+	to.Home = uint32(in.Home)
 	return to
 }
 
 func getArrival(id choice.RequestID, a *pb.Arrival) choice.Request {
 	return choice.Request{ID: id, Class: string(a.GetClass()), Tenant: string(a.GetTenant()), TimeLeft: a.GetTimeLeftUs(),
 		PromptTokens: int(a.GetPromptTokens()), PrefixTokens: int(a.GetPrefixTokens()), MaxTokens: int(a.GetMaxTokens()),
-		Session: a.GetSession(), Prefix: a.GetPrefix(), Factor: a.GetFactor(), Spent: int(a.GetSpent())}
+		Session: a.GetSession(), Prefix: a.GetPrefix(), Factor: a.GetFactor(), Spent: int(a.GetSpent()), Home: choice.ReplicaID(a.GetHome())}
 }
 
 func putList(l *choice.ServerList, name func(choice.ReplicaID) string) *pb.List {
-	out := &pb.List{Kind: uint32(l.Kind), Version: l.Version, Members: make([]*pb.Member, len(l.Members))}
+	out := &pb.List{Kind: uint32(l.Kind), Version: l.Version, Fleet: int64(l.Fleet), Members: make([]*pb.Member, len(l.Members))}
 	for i, m := range l.Members {
 		out.Members[i] = &pb.Member{Worker: uint32(m.Replica), State: uint32(m.State), Weight: m.Weight, Cell: m.Cell,
 			Kind: []byte(m.Kind), Zone: []byte(m.Zone), SinceUs: m.Since, Name: text(name(m.Replica))}
@@ -65,7 +66,7 @@
 }
 
 func getList(l *pb.List) choice.ServerList {
-	out := choice.ServerList{Kind: choice.ListKind(l.GetKind()), Version: l.GetVersion()}
+	out := choice.ServerList{Kind: choice.ListKind(l.GetKind()), Version: l.GetVersion(), Fleet: int(l.GetFleet())}
 	for _, m := range l.GetMembers() {
 		out.Members = append(out.Members, choice.Member{Replica: choice.ReplicaID(m.Worker), State: choice.MemberState(m.State),
 			Weight: m.Weight, Cell: m.Cell, Kind: string(m.Kind), Zone: string(m.Zone), Since: m.SinceUs})
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -407,7 +407,7 @@
 	run, _, _ := recorded(t, 15, 0, 4)
 	path := run.Segments[0].Path
 	_, err := capture.Find(reheaded(t, path, func(h *pb.Header) { h.Major = 9 }))
-	if !errors.Is(err, capture.ErrVersion) || !strings.Contains(err.Error(), "version 9.5") {
+	if !errors.Is(err, capture.ErrVersion) || !strings.Contains(err.Error(), "version 9.6") {
 		t.Errorf("another major version: %v", err)
 	}
 	// A later minor version: fields that this build does not know are no harm.
@@ -435,8 +435,7 @@
 	if err := proto.Unmarshal(text, &st); err != nil {
 		t.Fatal(err)
 	}
-	var check func(m proto.Message)
-	check = func(m proto.Message) {
+	check := func(m proto.Message) {
 		if n := len(m.ProtoReflect().GetUnknown()); n > 0 {
 			t.Errorf("%s: %d bytes of fields that the message lacks", m.ProtoReflect().Descriptor().Name(), n)
 		}
