Lists of any framing and of thousands of replicas are read entry by entry

Seen: a list written as one chunk of over 64 KiB was refused (spoilt answer: chunk length), so with 1,000 replicas a gateway was never ready; and answers over 1 MiB were (maxList), some 6,000 entries with short names. Cause: Body.Next returns chunks whole, as events need it, and ReadAll held the text; the bound was a constant. Change: Body.Reader reads a body as bytes, whatever its chunks; ReadList decodes entry by entry and holds 64 KiB of text at most.

--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -179,3 +179,66 @@
 		})
 	}
 }
+
+// Lists of thousands of entries make a gateway ready in any framing: one chunk of over 64 KiB was
+// refused, and it never was. A list that is refused is counted, and the last good one stays.
+func TestLongLists(t *testing.T) {
+	entry := func(i int) string {
+		return fmt.Sprintf(`{"instanceId":"s-%d","hostPort":"127.0.0.1:1","zone":"a","machineType":"k","lifecycle":"ready"}`, i)
+	}
+	entries := make([]string, 6000)
+	for i := range entries {
+		entries[i] = entry(i)
+	}
+	list := `{"generation":7,"reset":true,"instances":[` + strings.Join(entries, ",\n  ") + `]}`
+	twice := `{"generation":8,"reset":true,"instances":[` + entry(1) + "," + entry(1) + `]}`
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	many := strings.Builder{}
+	for part := list; part != ""; part = part[min(5000, len(part)):] {
+		many.WriteString(chunk(part[:min(5000, len(part))]))
+	}
+	for name, answer := range map[string]string{"one chunk": head + chunk(list) + lastChunk, "many chunks": head + many.String() + lastChunk,
+		"length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			g, err := New(options())
+			if err != nil {
+				t.Fatal(err)
+			}
+			g.o.MostInstances = 6000
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				in := bufio.NewReader(conn)
+				for _, text := range []string{answer, head + chunk(twice) + lastChunk} {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					io.WriteString(conn, text)
+				}
+			}()
+			got, err := g.callRegistry(t.Context(), l.Addr().String(), socket.ListPath, 5*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			listed{got}.apply(g.loop)
+			if !g.ready.Load() || g.loop.registry.Ready() != 6000 {
+				t.Errorf("ready %t with %d", g.ready.Load(), g.loop.registry.Ready())
+			}
+			if _, err := g.callRegistry(t.Context(), l.Addr().String(), socket.ListPath, 5*time.Second); err == nil || g.refusedLists.Load() != 1 {
+				t.Errorf("%v, %d lists refused", err, g.refusedLists.Load())
+			}
+			if g.registry.pool.Open() != 1 {
+				t.Errorf("%d connections kept, want the one on which both came", g.registry.pool.Open())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/wire/socket/bodyreader.go
@@ -0,0 +1,116 @@
+package socket
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// Reader returns the body as a plain stream of bytes. Next returns a chunk whole, because chunks of
+// an answer's stream carry events; a list may come as one chunk of any size, which nobody has to
+// hold. Either Next or the Reader is used on one Body, not both.
+func (b *Body) Reader() io.Reader {
+	if b.chunked {
+		return &chunkReader{body: b}
+	}
+	return readerFunc(b.read)
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// read fills p from a body that is not in chunks.
+func (b *Body) read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	if b.left > 0 {
+		p = p[:min(b.left, int64(len(p)))]
+	}
+	n, err := b.r.Read(p)
+	if b.left > 0 {
+		if b.left -= int64(n); err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+	}
+	if n > 0 {
+		err = nil
+	}
+	return n, err
+}
+
+// chunkReader reads a chunked body without regard to where its chunks end.
+type chunkReader struct {
+	body *Body
+	left uint64 // bytes of the current chunk that are still to come
+	err  error  // the end, once it has been met
+}
+
+func (c *chunkReader) Read(p []byte) (int, error) {
+	if len(p) == 0 || c.err != nil {
+		return 0, c.err
+	}
+	if c.left == 0 {
+		if c.left, c.err = c.body.chunkSize(); c.err != nil {
+			return 0, c.err
+		}
+	}
+	n, err := c.body.r.Read(p[:min(c.left, uint64(len(p)))])
+	c.left -= uint64(n)
+	if err != nil {
+		c.err = cut(err)
+	} else if c.left == 0 {
+		c.err = c.body.chunkEnd()
+	}
+	if n > 0 {
+		return n, nil // an error is told by the next call
+	}
+	return 0, c.err
+}
+
+// chunkSize reads the line that begins a chunk, and behind the last chunk the trailer: then the
+// error is io.EOF.
+func (b *Body) chunkSize() (uint64, error) {
+	line, err := b.line(maxSize)
+	if err != nil {
+		return 0, err
+	}
+	text, _, _ := strings.Cut(line, ";")
+	size, err := strconv.ParseUint(strings.TrimSpace(text), 16, 32)
+	if err != nil {
+		return 0, fmt.Errorf("%w: chunk length %.20q", ErrSpoilt, line)
+	}
+	if size == 0 {
+		return 0, b.trailer()
+	}
+	return size, nil
+}
+
+// trailer reads what follows the last chunk. The error is io.EOF where it ends in order.
+func (b *Body) trailer() error {
+	for read := 0; read <= maxTrailer; {
+		line, err := b.line(maxTrailer)
+		if err != nil {
+			return err
+		}
+		if line == "" {
+			return io.EOF
+		}
+		read += len(line)
+	}
+	return fmt.Errorf("%w: trailer", ErrSpoilt)
+}
+
+// chunkEnd reads the line end behind a chunk's bytes.
+func (b *Body) chunkEnd() error {
+	line, err := b.line(maxSize)
+	if err != nil {
+		return err
+	}
+	if line != "" {
+		return fmt.Errorf("%w: chunk does not fit its length", ErrSpoilt)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/socket/list_test.go
@@ -0,0 +1,143 @@
+package socket
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// entries is the text of so many entries.
+func entries(n int) string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf(`{"instanceId":"s-%d","hostPort":"10.0.0.1:%d","zone":"a","machineType":"m","cell":0,"lifecycle":"ready","weight":1,"startedAtMs":0}`, i, 1+i%60000)
+	}
+	return strings.Join(out, ",")
+}
+
+// A list that is not to be used is refused with what is wrong with it, and is told from text that
+// cannot be read.
+func TestOddListsAreRefused(t *testing.T) {
+	limits := ListLimits{Instances: 3, Zones: []string{"a", "b"}}
+	list := func(instances string) string { return `{"generation":1,"reset":true,"instances":[` + instances + `]}` }
+	entry := func(rest string) string {
+		return list(`{"instanceId":"s-1","hostPort":"h:1","lifecycle":"ready",` + rest + `}`)
+	}
+	for text, want := range map[string]string{
+		list(entries(3)):                       "",
+		list(entries(4)):                       "over 3 entries",
+		list(entries(2) + "," + entries(1)):    `"s-0" is named twice`,
+		entry(`"zone":"a"`):                    "",
+		entry(`"zone":"c"`):                    `unknown zone "c"`,
+		entry(`"weight":-1`):                   "weight -1",
+		entry(`"weight":1e9`):                  "weight 1e+09",
+		list(`{"hostPort":"h:1"}`):             "without instanceId",
+		list(`{"instanceId":"s-1"}`):           "without instanceId or hostPort",
+		`{"generation":1,"generation":2}`:      "stands twice",
+		entry(`"zone":"a","x":` + long(70000)): "a value of over",
+	} {
+		got, err := ReadList(strings.NewReader(text), limits)
+		var bad *BadList
+		switch {
+		case want == "" && err != nil:
+			t.Errorf("%.80s: %v", text, err)
+		case want != "" && (!errors.As(err, &bad) || !strings.Contains(bad.Reason, want)):
+			t.Errorf("%.80s: %d entries, error %v, want %s", text, len(got.Instances), err, want)
+		}
+	}
+	// Changes may name a replica twice, and one that has gone needs no place.
+	changes := `{"generation":2,"instances":[{"instanceId":"s-1","hostPort":"h:1","lifecycle":"draining"},{"instanceId":"s-1","lifecycle":"gone","zone":"z"}]}`
+	if got, err := ReadList(strings.NewReader(changes), limits); err != nil || len(got.Instances) != 2 {
+		t.Errorf("changes: %+v, %v", got, err)
+	}
+	for _, text := range []string{"", "[]", `{"generation":1`, `{"generation":1}x`, `{"generation":"1"}`, `{"instances":{}}`, `{"instances":[1]}`, `{"instances":[{"instanceId":`} {
+		var bad *BadList
+		if _, err := ReadList(strings.NewReader(text), limits); err == nil || errors.As(err, &bad) {
+			t.Errorf("%q: %v, want an error of the text", text, err)
+		}
+	}
+}
+
+func long(n int) string { return `"` + strings.Repeat("x", n) + `"` }
+
+// A list is the same in any framing and indentation, whatever the size of a chunk and however it
+// comes; the reader ends where the body does.
+func TestListInEveryFraming(t *testing.T) {
+	const n = 6000
+	text := `{"generation":7,"reset":true,"instances":[` + entries(n) + `]}`
+	var tree any
+	if err := json.Unmarshal([]byte(text), &tree); err != nil {
+		t.Fatal(err)
+	}
+	indented, err := json.MarshalIndent(tree, "", "    ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	chunked := func(text string, size int) string {
+		out := strings.Builder{}
+		out.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for part := text; part != ""; part = part[min(size, len(part)):] {
+			fmt.Fprintf(&out, "%x;x=y\r\n%s\r\n", min(size, len(part)), part[:min(size, len(part))])
+		}
+		return out.String() + "0\r\nX: y\r\n\r\n"
+	}
+	whole := func(text string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+	for name, answer := range map[string]string{
+		"length": whole(text), "one chunk": chunked(text, len(text)), "many chunks": chunked(text, 1000), "chunks of one byte": chunked(text, 1),
+		"indented": whole(string(indented)), "indented, one chunk": chunked(string(indented), len(indented)),
+		"to the connection's end": "HTTP/1.1 200 OK\r\n\r\n" + text,
+	} {
+		for _, reader := range []io.Reader{strings.NewReader(answer), iotest.HalfReader(strings.NewReader(answer)), iotest.DataErrReader(strings.NewReader(answer))} {
+			in := bufio.NewReader(reader)
+			resp, err := ReadHead(in)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := ReadList(NewBody(in, resp).Reader(), ListLimits{Instances: n})
+			if err != nil || got.Generation != 7 || !got.Reset || len(got.Instances) != n || got.Instances[n-1].ID != "s-5999" {
+				t.Errorf("%s: %d entries, %v", name, len(got.Instances), err)
+			}
+			if in.Buffered() > 0 {
+				t.Errorf("%s: %d bytes are left", name, in.Buffered())
+			}
+		}
+	}
+	// What is cut or does not fit its chunks is no list.
+	one := chunked(text, len(text))
+	for name, answer := range map[string]string{
+		"cut": one[:len(one)-40], "no last chunk": strings.TrimSuffix(one, "0\r\nX: y\r\n\r\n"), "an odd length": strings.Replace(one, ";x=y", "zz", 1),
+		"longer than its chunk": strings.Replace(one, "]}\r\n0", "]} \r\n0", 1), "cut length": whole(text)[:5000],
+	} {
+		in := bufio.NewReader(strings.NewReader(answer))
+		resp, err := ReadHead(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadList(NewBody(in, resp).Reader(), ListLimits{}); err == nil {
+			t.Errorf("%s: taken for a list", name)
+		}
+	}
+}
+
+// What a list takes to read follows its entries, not its text: the text is never held whole.
+func TestListTextIsNotHeld(t *testing.T) {
+	spaces := strings.Repeat(" ", 40<<10)
+	text := `{"generation":1,"reset":true,"instances":[` + strings.ReplaceAll(entries(200), "},", "}"+spaces+",") + `]}`
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if _, err := ReadList(strings.NewReader(text), ListLimits{}); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	if got := after.TotalAlloc - before.TotalAlloc; got > uint64(len(text)/8) {
+		t.Errorf("%d bytes allocated for a text of %d", got, len(text))
+	}
+}
--- a/internal/wire/socket/registry.go
+++ b/internal/wire/socket/registry.go
@@ -1,7 +1,6 @@
 package socket
 
 import (
-	"encoding/json"
 	"fmt"
 
 	"archknot/choice"
@@ -38,20 +37,6 @@
 	return choice.MemberDraining
 }
 
-// ParseList reads a list.
-func ParseList(text []byte) (List, error) {
-	var l List
-	if err := json.Unmarshal(text, &l); err != nil {
-		return l, fmt.Errorf("list: %v", err)
-	}
-	for _, i := range l.Instances {
-		if i.ID == "" || i.Addr == "" && i.Lifecycle != "gone" {
-			return l, fmt.Errorf("list: entry without instanceId or hostPort")
-		}
-	}
-	return l, nil
-}
-
 // NoVersion stands for having no list yet. A version of 0 is a list: taken for
 // none, each watch call was answered at once with the whole list.
 const NoVersion = -1
--- a/internal/wire/socket/stream.go
+++ b/internal/wire/socket/stream.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 )
 
@@ -73,50 +72,20 @@
 	if b.chunked {
 		return b.chunk()
 	}
-	if b.left == 0 {
-		return nil, io.EOF
-	}
 	if b.buf == nil {
 		b.buf = make([]byte, 4096)
 	}
-	p := b.buf
-	if b.left > 0 {
-		p = p[:min(b.left, int64(len(p)))]
-	}
-	n, err := b.r.Read(p)
-	if b.left > 0 {
-		if b.left -= int64(n); err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-	}
-	if n > 0 {
-		err = nil
-	}
-	return p[:n], err
+	n, err := b.read(b.buf)
+	return b.buf[:n], err
 }
 
 func (b *Body) chunk() ([]byte, error) {
-	line, err := b.line(maxSize)
+	size, err := b.chunkSize()
 	if err != nil {
 		return nil, err
 	}
-	text, _, _ := strings.Cut(line, ";")
-	size, err := strconv.ParseUint(strings.TrimSpace(text), 16, 32)
-	if err != nil || size > maxChunk {
-		return nil, fmt.Errorf("%w: chunk length %.20q", ErrSpoilt, line)
-	}
-	if size == 0 {
-		for read := 0; ; read += len(line) {
-			if line, err = b.line(maxTrailer); err != nil {
-				return nil, err
-			}
-			if line == "" {
-				return nil, io.EOF
-			}
-			if read > maxTrailer {
-				return nil, fmt.Errorf("%w: trailer", ErrSpoilt)
-			}
-		}
+	if size > maxChunk {
+		return nil, fmt.Errorf("%w: chunk length %x", ErrSpoilt, size)
 	}
 	b.buf = b.buf[:0]
 	for len(b.buf) < int(size)+2 {
