Subsets: each gateway works with a bounded part of a large fleet, without talk

Change: a pure package, between discovery's lists and the module. Replicas have fixed positions on rings of their zones, gateways windows that begin at multiples of irrational numbers by their index; zones are shared out so that every replica is in as many subsets. Beside the subset the module is told the home of a request at hand, by weighted rendezvous, the same from all gateways of a zone.

--- /dev/null
+++ b/internal/subset/subset.go
@@ -0,0 +1,178 @@
+// Package subset bounds the part of a large fleet that a gateway works with. Every gateway works out
+// the same rule from what it is told anyway: its own index and zone, and discovery's list. Gateways
+// do not talk, and none keeps a table of the others.
+//
+// Each replica has a fixed position on a ring of its zone, and each gateway a window on every ring.
+// A replica is in the gateway's subset while its position lies in the window. Positions follow from
+// the replica's name and windows from the gateway's index, so a replica that comes or goes moves no
+// other one. Windows begin at multiples of irrational numbers, which spread any run of indexes
+// evenly: all replicas are in nearly the same number of subsets.
+//
+// See docs/design/subsets.md.
+package subset
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"archknot/choice"
+)
+
+// Defaults of the settings.
+const (
+	DefaultMost   = 128
+	DefaultRemote = 0.25
+)
+
+// Settings are what a gateway's subset is worked out from, beside the list.
+type Settings struct {
+	Most     int           // replicas a gateway works with; lists up to it pass whole; 0: all pass whole
+	Index    int           // this gateway's number
+	Zone     string        // its zone; "": none
+	Remote   float64       // part of the subset that is taken from all zones alike
+	Weighted bool          // weights in the list are sizes: twice the weight is in twice as many subsets
+	ColdFor  choice.Micros // how long a replica is in slow start
+}
+
+// usual is how many replicas a subset has in the mean: a margin below the bound, for the number in a
+// window scatters.
+func (s *Settings) usual() float64 { return float64(s.Most) * 4 / 5 }
+
+// least is how many replicas that take work a subset has at least, where there are so many.
+func (s *Settings) least() int { return max(1, s.Most*2/5) }
+
+// replica is one of the list as the view holds it.
+type replica struct {
+	choice.Member
+	hash     uint64
+	position float64 // on its ring, from 0 to 1
+	ring     int
+	zone     *zone   // nil: one of which nothing takes work
+	width    float64 // of this gateway's window for it, at a scale of 1
+	offset   float64 // how far behind the window's beginning it lies
+	in       bool    // it is in the subset
+}
+
+func newReplica(m choice.Member) *replica {
+	r := &replica{Member: m, hash: hash(uint64(m.Replica))}
+	r.position = unit(r.hash)
+	r.ring = int(hash(r.hash) % rings)
+	return r
+}
+
+// size is the replica's weight against others.
+func (r *replica) size(weighted bool) float64 {
+	if !weighted || r.Weight <= 0 {
+		return 1
+	}
+	return r.Weight
+}
+
+// choose marks the replicas that are in the subset and returns how many of these take work.
+func (s *Settings) choose(fleet []*replica) (zones *zoneTable, ready int) {
+	zones = s.zones(fleet)
+	s.place(fleet)
+	scale := s.scale(fleet, zones.ready)
+	for range widenMost {
+		ready = mark(fleet, scale)
+		if want := min(s.least(), zones.ready); ready >= want {
+			break
+		}
+		scale *= widen // few that take work are in reach: another part of the fleet has to do
+	}
+	if ready > s.Most {
+		ready = s.trim(fleet)
+	}
+	return zones, ready
+}
+
+// widen is the factor by which windows grow while too few replicas in them take work, and widenMost
+// how often: by then a window of any share has the whole ring.
+const widen, widenMost = 1.5, 64
+
+// place sets where each replica lies by this gateway's windows.
+func (s *Settings) place(fleet []*replica) {
+	for _, r := range fleet {
+		if r.zone == nil {
+			r.width, r.offset = 0, 0
+			continue
+		}
+		r.width = s.usual() * r.zone.share * r.size(s.Weighted) / r.zone.weight
+		offset := r.position - r.zone.starts[r.ring]
+		r.offset = offset - math.Floor(offset)
+	}
+}
+
+// mark sets which replicas lie in their windows and counts those of them that take work.
+func mark(fleet []*replica, scale float64) (ready int) {
+	for _, r := range fleet {
+		r.in = r.offset < scale*r.width
+		if r.in && r.State == choice.MemberReady {
+			ready++
+		}
+	}
+	return ready
+}
+
+// scale is the factor on all windows by which the subset has its usual size in the mean. It is 1
+// unless a zone is too small for its part.
+func (s *Settings) scale(fleet []*replica, ready int) float64 {
+	want := min(s.usual(), float64(ready))
+	expected := func(scale float64) (sum float64) {
+		for _, r := range fleet {
+			if r.State == choice.MemberReady {
+				sum += min(1, scale*r.width)
+			}
+		}
+		return sum
+	}
+	const close = 1 - 1e-9
+	low, high := 1.0, 1.0
+	for range 60 {
+		if expected(high) >= want*close {
+			break
+		}
+		low, high = high, 2*high
+	}
+	if high == 1 {
+		return 1
+	}
+	for range 40 {
+		if middle := (low + high) / 2; expected(middle) >= want*close {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	return high
+}
+
+// trim takes those that lie last in their windows out of the subset, down to the bound.
+func (s *Settings) trim(fleet []*replica) (ready int) {
+	var in []*replica
+	for _, r := range fleet {
+		if r.in && r.State == choice.MemberReady {
+			in = append(in, r)
+		}
+	}
+	place := func(r *replica) float64 { return r.offset / r.width }
+	slices.SortFunc(in, func(a, b *replica) int {
+		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.Replica, b.Replica))
+	})
+	for _, r := range in[s.Most:] {
+		r.in = false
+	}
+	return s.Most
+}
+
+// rings is how many rings a zone has. On one ring the same gateways would be neighbours everywhere,
+// and a crowded place would have the same subsets in all of their windows.
+const rings = 8
+
+// steps are the distances between the windows of successive indexes on each ring: irrational numbers,
+// whose multiples spread evenly over the ring. These were searched for among the square roots up to
+// that of 4,000: theirs do so also where only every n-th index is taken, for n up to 24, as when
+// gateways are dealt to zones in turn.
+var steps = [rings]float64{math.Sqrt(1845), math.Sqrt(3427), math.Sqrt(463), math.Sqrt(3340), math.Sqrt(1178), math.Sqrt(1737),
+	math.Sqrt(347), math.Sqrt(2514)}
--- /dev/null
+++ b/internal/subset/subset_test.go
@@ -0,0 +1,428 @@
+package subset
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"archknot/choice"
+)
+
+// noFigures is a module with nothing out, which has seen no prefix.
+type noFigures struct{ open map[choice.ReplicaID]int }
+
+func (n noFigures) Open(id choice.ReplicaID) int { return n.open[id] }
+func (noFigures) PrefixShare(uint64) float64     { return 0 }
+
+const second choice.Micros = 1_000_000
+
+// zoned is a list of replicas dealt to zones, so many in each, with ids from first on.
+func zoned(first int, counts ...int) (out []choice.Member) {
+	for zone, n := range counts {
+		for range n {
+			out = append(out, choice.Member{Replica: choice.ReplicaID(hash(uint64(first))), State: choice.MemberReady, Weight: 1,
+				Zone: fmt.Sprint("z", zone), Kind: "k", Since: 5})
+			first++
+		}
+	}
+	return out
+}
+
+func even(zones, each int) []int {
+	return slices.Repeat([]int{each}, zones)
+}
+
+func full(members []choice.Member) choice.ServerList {
+	return choice.ServerList{Kind: choice.ListFull, Members: members}
+}
+
+// bound is the settings of the tests: those of a gateway in the zone that its index stands for.
+func bound(most, index int, zone string) Settings {
+	return Settings{Most: most, Index: index, Zone: zone, Remote: DefaultRemote, ColdFor: 9 * second}
+}
+
+// ids are the replicas of a list that take work.
+func ids(list choice.ServerList) map[choice.ReplicaID]bool {
+	out := map[choice.ReplicaID]bool{}
+	for _, m := range list.Members {
+		if m.State == choice.MemberReady {
+			out[m.Replica] = true
+		}
+	}
+	return out
+}
+
+// follow applies what a view tells to what was told before, as the module does.
+func follow(held map[choice.ReplicaID]choice.Member, list choice.ServerList) {
+	if list.Kind.Whole() {
+		clear(held)
+	}
+	for _, m := range list.Members {
+		if m.State == choice.MemberGone {
+			delete(held, m.Replica)
+		} else {
+			held[m.Replica] = m
+		}
+	}
+}
+
+// A list of up to the bound passes as it is.
+func TestListsUpToTheBoundPassWhole(t *testing.T) {
+	for _, n := range []int{0, 1, 99, 128} {
+		list := full(zoned(0, n))
+		v := NewView(bound(128, 3, "z0"), noFigures{})
+		got := v.Apply(second, list)
+		if len(got.Members) != n || got.Fleet != 0 || n > 0 && &got.Members[0] != &list.Members[0] {
+			t.Errorf("%d replicas: %d told, fleet %d", n, len(got.Members), got.Fleet)
+		}
+		in := choice.Request{Session: 7, Prefix: 8}
+		if _, tell := v.Home(second, &in); tell || in.Home != 0 {
+			t.Errorf("%d replicas: a home of its own", n)
+		}
+	}
+	list := full(zoned(0, 5000))
+	if got := NewView(bound(0, 3, "z0"), noFigures{}).Apply(second, list); len(got.Members) != 5000 {
+		t.Error("no bound, and not the whole list")
+	}
+}
+
+// Every replica is in about as many subsets as any other, whatever zone a gateway's index stands for;
+// the number of gateways is told to nobody.
+func TestSpreadIsEven(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		gateways int
+		counts   []int
+		zoneOf   func(i, zones int) int
+	}{
+		{"one zone", 1800, []int{6000}, func(i, _ int) int { return 0 }},
+		{"one zone, 1200", 360, []int{1200}, func(i, _ int) int { return 0 }},
+		{"one zone, 600", 180, []int{600}, func(i, _ int) int { return 0 }},
+		{"three zones in turn", 1800, even(3, 2000), func(i, z int) int { return i % z }},
+		{"eighteen zones in turn", 1800, even(18, 333), func(i, z int) int { return i % z }},
+		{"eighteen zones in runs", 1800, even(18, 333), func(i, z int) int { return i / 100 }},
+		{"uneven zones", 1800, []int{600, 300, 900, 1200, 450, 150, 700, 800, 900}, func(i, z int) int { return i % z }},
+	} {
+		members := zoned(0, c.counts...)
+		subsets := map[choice.ReplicaID]int{}
+		sizes, least, most := 0, math.MaxInt, 0
+		var fleet []*replica
+		for _, m := range members {
+			fleet = append(fleet, newReplica(m))
+		}
+		for i := range c.gateways {
+			s := bound(128, i, fmt.Sprint("z", c.zoneOf(i, len(c.counts))))
+			_, n := s.choose(fleet)
+			for _, r := range fleet {
+				if r.in {
+					subsets[r.Replica]++
+				}
+			}
+			sizes, least, most = sizes+n, min(least, n), max(most, n)
+		}
+		mean, largest := float64(sizes)/float64(len(members)), 0
+		for _, n := range subsets {
+			largest = max(largest, n)
+		}
+		t.Logf("%s: subsets %d to %d, %.1f gateways a replica, largest over mean %.3f", c.name, least, most, mean, float64(largest)/mean)
+		if float64(largest)/mean > 1.25 || len(subsets) != len(members) || most > 128 || least < 51 {
+			t.Errorf("%s: largest over mean %.3f, %d of %d replicas in use", c.name, float64(largest)/mean, len(subsets), len(members))
+		}
+	}
+}
+
+// One replica in another's place moves nothing else; a third replaced at once moves these alone, up
+// to the few by which a window's edge moves.
+func TestReplacedReplicasMoveNothingElse(t *testing.T) {
+	members := zoned(0, even(6, 1000)...)
+	for index := range 60 {
+		v := NewView(bound(128, index, fmt.Sprint("z", index%6)), noFigures{})
+		before := ids(v.Apply(second, full(members)))
+		next := slices.Clone(members)
+		next[index*7] = zoned(90_000+index, 1)[0]
+		next[index*7].Zone = members[index*7].Zone
+		after := ids(v.Apply(2*second, full(next)))
+		for id := range before {
+			if !after[id] && id != members[index*7].Replica {
+				t.Fatalf("gateway %d: another replica has left the subset", index)
+			}
+		}
+		for id := range after {
+			if !before[id] && id != next[index*7].Replica {
+				t.Fatalf("gateway %d: another replica has come into the subset", index)
+			}
+		}
+		third := slices.Clone(members)
+		for i := 0; i < len(third); i += 3 {
+			third[i] = zoned(100_000+i, 1)[0]
+			third[i].Zone = members[i].Zone
+		}
+		after, stayed := ids(v.Apply(3*second, full(third))), 0
+		for i, m := range members {
+			if i%3 != 0 && before[m.Replica] {
+				if stayed++; !after[m.Replica] {
+					t.Fatalf("gateway %d: one that was not replaced has left", index)
+				}
+			}
+		}
+		if stayed < 30 {
+			t.Fatalf("gateway %d: %d stayed", index, stayed)
+		}
+	}
+}
+
+// Whatever becomes of a gateway's own replicas, others are told with the same list.
+func TestOthersInTheirPlace(t *testing.T) {
+	members := zoned(0, even(3, 500)...)
+	for _, state := range []choice.MemberState{choice.MemberDraining, choice.MemberGone} {
+		v := NewView(bound(128, 11, "z1"), noFigures{})
+		first := v.Apply(second, full(members))
+		held := map[choice.ReplicaID]choice.Member{}
+		follow(held, first)
+		change := choice.ServerList{Kind: choice.ListDelta}
+		for _, m := range first.Members {
+			m.State = state
+			change.Members = append(change.Members, m)
+		}
+		follow(held, v.Apply(2*second, change))
+		ready := 0
+		for _, m := range held {
+			if m.State == choice.MemberReady {
+				ready++
+			}
+		}
+		if ready < 51 || ready > 128 {
+			t.Errorf("state %d: %d others", state, ready)
+		}
+	}
+	// A zone that is lost and comes back cold: the gateways go on with others, and then as before.
+	for index := range 30 {
+		v := NewView(bound(128, index, "z1"), noFigures{})
+		before := ids(v.Apply(second, full(members)))
+		lost := slices.DeleteFunc(slices.Clone(members), func(m choice.Member) bool { return m.Zone == "z1" })
+		if got := ids(v.Apply(2*second, full(lost))); len(got) < 51 {
+			t.Errorf("gateway %d: %d left without its zone", index, len(got))
+		}
+		back := slices.Clone(members)
+		for i := range back {
+			if back[i].Zone == "z1" {
+				back[i].Since = 8 * second
+			}
+		}
+		got := v.Apply(9*second, full(back))
+		for _, m := range got.Members {
+			if m.Zone == "z1" && m.Since != 8*second || !before[m.Replica] {
+				t.Fatalf("gateway %d: after the return %+v", index, m)
+			}
+		}
+		in := choice.Request{Session: uint64(index) + 1}
+		if v.Home(9*second, &in); in.Home != 0 && slices.ContainsFunc(back, func(m choice.Member) bool { return m.Replica == in.Home && m.Zone == "z1" }) {
+			t.Errorf("gateway %d: at home at a replica in slow start", index)
+		}
+	}
+}
+
+// A list that shrinks below the bound and grows over it again: the module holds what is in use, and
+// never a replica that has gone.
+func TestListsShrinkAndGrow(t *testing.T) {
+	members := zoned(0, 400)
+	v := NewView(bound(128, 5, "z0"), noFigures{})
+	held := map[choice.ReplicaID]choice.Member{}
+	follow(held, v.Apply(second, full(members[:100])))
+	for step, n := range []int{400, 129, 128, 1, 0, 300, 128, 129} {
+		change := choice.ServerList{Kind: choice.ListDelta}
+		for i, m := range members {
+			if i >= n {
+				m.State = choice.MemberGone
+			}
+			change.Members = append(change.Members, m)
+		}
+		list := change
+		if step%2 == 0 {
+			list = full(members[:n])
+		}
+		follow(held, v.Apply(choice.Micros(step+2)*second, list))
+		for id := range held {
+			if !slices.ContainsFunc(members[:n], func(m choice.Member) bool { return m.Replica == id }) {
+				t.Fatalf("step %d: holds one that has gone", step)
+			}
+		}
+		if n <= 128 && len(held) != n || n > 128 && (len(held) < 51 || len(held) > 128) {
+			t.Errorf("step %d: %d of %d", step, len(held), n)
+		}
+	}
+}
+
+// Twice the weight is in twice as many subsets; a weight of 0 is not told and counts as 1; and
+// weights that are load, not size, move nothing.
+func TestWeights(t *testing.T) {
+	members := zoned(0, 3000)
+	for i := range members {
+		members[i].Weight = []float64{0, 1, 2}[i%3]
+	}
+	counts := [3]int{}
+	for index := range 200 {
+		s := bound(128, index, "z0")
+		s.Weighted = true
+		got := ids(NewView(s, noFigures{}).Apply(second, full(members)))
+		for i, m := range members {
+			if got[m.Replica] {
+				counts[i%3]++
+			}
+		}
+	}
+	for i, want := range []float64{1, 1, 2} {
+		if got := float64(counts[i]) / float64(counts[0]); math.Abs(got-want) > 0.1 {
+			t.Errorf("weight %d: in %.2f times as many subsets, want %v", i, got, want)
+		}
+	}
+	v := NewView(bound(128, 1, "z0"), noFigures{})
+	before := ids(v.Apply(second, full(members)))
+	for i := range members {
+		members[i].Weight = float64(i % 7)
+	}
+	after := v.Apply(2*second, full(members))
+	for id := range ids(after) {
+		if !before[id] {
+			t.Fatal("a change of load has moved the subset")
+		}
+	}
+}
+
+// All gateways of a zone send a session to the same homes, whatever their subsets, and its prefix
+// stays at a few replicas. A guest is told before it is used, and only at the bound taken back, never
+// while something is out at it.
+func TestHomesAreAgreedOn(t *testing.T) {
+	members := zoned(0, even(4, 400)...)
+	homes := map[uint64]choice.ReplicaID{}
+	ofPrefix := map[uint64]map[choice.ReplicaID]bool{}
+	for _, index := range []int{1, 5, 9, 413} {
+		busy := noFigures{open: map[choice.ReplicaID]int{}}
+		v := NewView(bound(128, index, "z1"), busy)
+		held := map[choice.ReplicaID]choice.Member{}
+		follow(held, v.Apply(20*second, full(members)))
+		for session := range uint64(600) {
+			in := choice.Request{Session: session + 1, Prefix: session%40 + 1}
+			list, tell := v.Home(20*second, &in)
+			if tell {
+				for _, m := range list.Members {
+					if m.State == choice.MemberGone && busy.open[m.Replica] > 0 {
+						t.Fatal("a replica with something out is taken back")
+					}
+				}
+				follow(held, list)
+			}
+			if in.Home == 0 {
+				t.Fatalf("gateway %d, session %d: no home", index, session)
+			}
+			if _, told := held[in.Home]; !told || len(held) > 128+64 {
+				t.Fatalf("gateway %d, session %d: home told %t; %d held", index, session, told, len(held))
+			}
+			if home, ok := homes[session]; ok && home != in.Home {
+				t.Fatalf("gateway %d, session %d: another home", index, session)
+			}
+			homes[session] = in.Home
+			if ofPrefix[in.Prefix] == nil {
+				ofPrefix[in.Prefix] = map[choice.ReplicaID]bool{}
+			}
+			ofPrefix[in.Prefix][in.Home] = true
+			if session%9 == 0 && len(busy.open) < 20 {
+				busy.open[in.Home]++
+			}
+		}
+	}
+	for prefix, at := range ofPrefix {
+		if len(at) > 3*homesLeast {
+			t.Errorf("prefix %d is kept at %d replicas", prefix, len(at))
+		}
+	}
+}
+
+// Over drawn fleets and histories: the subset is within its bounds, holds what the list says and
+// nothing else, is the same by whatever lists it came about, and has enough that takes work.
+func TestSubsetsOfDrawnFleets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		most := rapid.IntRange(1, 150).Draw(t, "most")
+		s := Settings{Most: most, Index: rapid.IntRange(0, 5000).Draw(t, "index"), Remote: rapid.Float64Range(0, 1).Draw(t, "remote"),
+			Zone: rapid.SampledFrom([]string{"z0", "z1", "z9", ""}).Draw(t, "zone"), Weighted: rapid.Bool().Draw(t, "weighted"), ColdFor: 9 * second}
+		counts := rapid.SliceOfN(rapid.IntRange(0, 200), 1, 5).Draw(t, "zones")
+		all := zoned(0, counts...)
+		truth := map[choice.ReplicaID]choice.Member{}
+		v := NewView(s, noFigures{})
+		held := map[choice.ReplicaID]choice.Member{}
+		for step := range rapid.IntRange(1, 6).Draw(t, "lists") {
+			now := choice.Micros(step+1) * second
+			list := choice.ServerList{Kind: rapid.SampledFrom([]choice.ListKind{choice.ListFull, choice.ListDelta, choice.ListOwn, choice.ListSaved}).Draw(t, "kind")}
+			if list.Kind.Whole() {
+				clear(truth)
+			}
+			seed := rapid.Uint64().Draw(t, "states")
+			for i, m := range all {
+				switch hash(seed+uint64(i)) % 6 {
+				case 0:
+					continue // not on this list
+				case 1:
+					m.State = choice.MemberGone
+				case 2:
+					m.State = choice.MemberDraining
+				}
+				m.Weight = float64(hash(seed^uint64(i)) % 4)
+				list.Members = append(list.Members, m)
+				if delete(truth, m.Replica); m.State != choice.MemberGone {
+					truth[m.Replica] = m
+				}
+			}
+			follow(held, v.Apply(now, list))
+			ready, inUse := 0, 0
+			for _, m := range truth {
+				if m.State == choice.MemberReady {
+					ready++
+				}
+			}
+			guests := 0
+			for id, m := range held {
+				if is, ok := truth[id]; !ok || is != m {
+					t.Fatalf("step %d: holds %+v, the list has %+v", step, m, is)
+				}
+				if _, guest := v.guests[id]; guest {
+					guests++
+					continue
+				}
+				if m.State == choice.MemberReady {
+					inUse++
+				}
+			}
+			if len(truth) <= most && len(held) != len(truth) {
+				t.Fatalf("step %d: %d of %d, which the bound of %d allows", step, len(held), len(truth), most)
+			}
+			if len(truth) > most && (inUse > most || inUse < min(s.least(), ready)) {
+				t.Fatalf("step %d: %d in use of %d, bound %d", step, inUse, ready, most)
+			}
+			anew := NewView(s, noFigures{})
+			var members []choice.Member
+			for _, m := range truth {
+				members = append(members, m)
+			}
+			other := map[choice.ReplicaID]choice.Member{}
+			follow(other, anew.Apply(now, full(members)))
+			if len(other) != len(held)-guests {
+				t.Fatalf("step %d: %d by these lists and %d guests, %d by one", step, len(held), guests, len(other))
+			}
+			for id := range other {
+				if _, ok := held[id]; !ok {
+					t.Fatalf("step %d: another subset by other lists", step)
+				}
+			}
+			in := choice.Request{Session: 3, Prefix: 4}
+			if list, tell := v.Home(now+20*second, &in); tell {
+				follow(held, list)
+			}
+			if in.Home != 0 && held[in.Home].State != choice.MemberReady {
+				t.Fatalf("step %d: at home where nothing is taken", step)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/subset/view.go
@@ -0,0 +1,262 @@
+package subset
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"archknot/choice"
+)
+
+// Figures is what a view has to know of the decision module that it stands before.
+type Figures interface {
+	Open(id choice.ReplicaID) int              // attempts out at a replica
+	PrefixShare(prefix uint64) (share float64) // of the requests seen so far
+}
+
+// View stands between discovery's lists and the decision module: it holds the whole list and tells
+// the module the gateway's subset of it, and beside that the homes of requests at hand. It has one
+// owner, and reads no clock.
+type View struct {
+	s       Settings
+	figures Figures
+	fleet   map[choice.ReplicaID]*replica
+	sorted  []*replica // by id
+	zones   *zoneTable
+	pools   map[string]*pool
+	active  bool // the module is told a part
+	heard   bool // a list has come
+	told    map[choice.ReplicaID]choice.Member
+	guests  map[choice.ReplicaID]uint64 // homes outside of the subset, by when they were last wanted
+	clock   uint64
+	stats   Stats
+}
+
+// Stats are a view's figures for operators.
+type Stats struct {
+	Listed int    // replicas on the list
+	Ready  int    // those that take work
+	Subset int    // those in the subset that take work; as many as Ready where the list passes whole
+	Guests int    // homes outside of the subset that are told
+	Joined uint64 // replicas that have come into the subset by changes of the list
+	Left   uint64 // and out of it
+}
+
+// NewView returns a view that has heard of no list.
+func NewView(s Settings, figures Figures) *View {
+	return &View{s: s, figures: figures, fleet: map[choice.ReplicaID]*replica{}, told: map[choice.ReplicaID]choice.Member{},
+		guests: map[choice.ReplicaID]uint64{}}
+}
+
+// Stats tells the view's figures.
+func (v *View) Stats() Stats { return v.stats }
+
+// Apply takes discovery's news and returns what the module is told of it. Lists of no more replicas
+// than the bound are returned as they are.
+func (v *View) Apply(now choice.Micros, list choice.ServerList) choice.ServerList {
+	if v.s.Most <= 0 || list.Kind.Failed() {
+		return list
+	}
+	was := v.active
+	if !was { // all that was listed so far
+		clear(v.told)
+		for id, r := range v.fleet {
+			v.told[id] = r.Member
+		}
+	}
+	v.enter(now, &list)
+	v.active = len(v.fleet) > v.s.Most
+	v.index()
+	if !v.active {
+		v.stats.Subset, v.stats.Guests = v.stats.Ready, 0
+		if was {
+			return v.whole(list)
+		}
+		return list
+	}
+	return v.part(list)
+}
+
+// enter takes the list over.
+func (v *View) enter(now choice.Micros, list *choice.ServerList) {
+	listed := make(map[choice.ReplicaID]bool, len(list.Members))
+	for _, m := range list.Members {
+		listed[m.Replica] = true
+		if m.State == choice.MemberGone {
+			delete(v.fleet, m.Replica)
+			continue
+		}
+		was := v.fleet[m.Replica]
+		if m.Since == 0 { // not told: long ago, unless it has come since the first list
+			switch {
+			case was != nil:
+				m.Since = was.Since
+			case v.heard:
+				m.Since = now
+			default:
+				m.Since = longAgo
+			}
+		}
+		if was != nil {
+			was.Member = m
+			continue
+		}
+		v.fleet[m.Replica] = newReplica(m)
+	}
+	if list.Kind.Whole() {
+		maps.DeleteFunc(v.fleet, func(id choice.ReplicaID, _ *replica) bool { return !listed[id] })
+	}
+	v.heard = true
+}
+
+// longAgo is the start of a replica that was up before this gateway was. It is not 0, which the
+// module would take for no word of a start and hence for a start just now.
+const longAgo choice.Micros = 1
+
+// index renews what is worked out from the whole list.
+func (v *View) index() {
+	v.sorted = slices.AppendSeq(v.sorted[:0], maps.Values(v.fleet))
+	slices.SortFunc(v.sorted, func(a, b *replica) int { return cmp.Compare(a.Replica, b.Replica) })
+	v.stats.Listed, v.stats.Ready = len(v.sorted), 0
+	byZone := map[string][]*replica{}
+	for _, r := range v.sorted {
+		if r.State == choice.MemberReady {
+			v.stats.Ready++
+			byZone[r.Zone] = append(byZone[r.Zone], r)
+		}
+	}
+	v.pools = map[string]*pool{}
+	if !v.active {
+		return
+	}
+	for name, replicas := range byZone {
+		v.pools[name] = newPool(replicas)
+	}
+}
+
+// part makes the module's list of one that is longer than the bound.
+func (v *View) part(list choice.ServerList) choice.ServerList {
+	v.zones, v.stats.Subset = v.s.choose(v.sorted)
+	next := make(map[choice.ReplicaID]choice.Member, v.s.Most)
+	for _, r := range v.sorted {
+		if _, guest := v.guests[r.Replica]; guest && r.in {
+			delete(v.guests, r.Replica)
+		} else if !r.in && !guest {
+			continue
+		}
+		next[r.Replica] = r.Member
+	}
+	maps.DeleteFunc(v.guests, func(id choice.ReplicaID, _ uint64) bool { return v.fleet[id] == nil })
+	out := choice.ServerList{Kind: list.Kind, Version: list.Version, Fleet: v.stats.Ready}
+	for id, m := range next {
+		was, told := v.told[id]
+		if !told {
+			v.stats.Joined++
+		}
+		if list.Kind.Whole() || !told || was != m {
+			out.Members = append(out.Members, m)
+		}
+	}
+	for id, was := range v.told {
+		if _, stays := next[id]; stays {
+			continue
+		}
+		v.stats.Left++
+		if !list.Kind.Whole() {
+			was.State = choice.MemberGone
+			out.Members = append(out.Members, was)
+		}
+	}
+	v.told, v.stats.Guests = next, len(v.guests)
+	sortMembers(out.Members)
+	return out
+}
+
+// whole tells everything, after the list has shrunk to the bound.
+func (v *View) whole(list choice.ServerList) choice.ServerList {
+	clear(v.guests)
+	clear(v.told)
+	out := choice.ServerList{Kind: list.Kind, Version: list.Version}
+	for _, r := range v.sorted {
+		out.Members = append(out.Members, r.Member)
+	}
+	if !list.Kind.Whole() { // what has gone by this list
+		for _, m := range list.Members {
+			if m.State == choice.MemberGone {
+				out.Members = append(out.Members, m)
+			}
+		}
+	}
+	sortMembers(out.Members)
+	return out
+}
+
+func sortMembers(list []choice.Member) {
+	slices.SortFunc(list, func(a, b choice.Member) int { return cmp.Compare(a.Replica, b.Replica) })
+}
+
+// Home sets the home of a request that has come. Where the module has not been told of that replica
+// yet, the list that tells it is returned.
+func (v *View) Home(now choice.Micros, in *choice.Request) (list choice.ServerList, tell bool) {
+	if !v.active {
+		return list, false
+	}
+	home := v.home(now, in)
+	if home == nil {
+		return list, false
+	}
+	v.clock++
+	if !v.invite(home, &list) {
+		return list, false
+	}
+	in.Home = home.Replica
+	list.Kind, list.Fleet = choice.ListOwn, v.stats.Ready
+	sortMembers(list.Members)
+	return list, len(list.Members) > 0
+}
+
+// invite makes sure that the module is told of a replica, and enters what has to be told for it in
+// the list. It fails where there is no room for a further one.
+func (v *View) invite(r *replica, list *choice.ServerList) bool {
+	_, told := v.told[r.Replica]
+	_, guest := v.guests[r.Replica]
+	if told && !guest {
+		return true
+	}
+	if !guest {
+		if len(v.guests) >= v.guestsMost() && !v.makeRoom(list) {
+			return false
+		}
+		list.Members = append(list.Members, r.Member)
+		v.told[r.Replica] = r.Member
+	}
+	v.guests[r.Replica] = v.clock
+	v.stats.Guests = len(v.guests)
+	return true
+}
+
+// guestsMost is how many homes outside of the subset the module is told at once.
+func (v *View) guestsMost() int { return max(1, v.s.Most/2) }
+
+// makeRoom takes the guest that was not wanted for longest back, of those at which nothing is out.
+func (v *View) makeRoom(list *choice.ServerList) bool {
+	var oldest choice.ReplicaID
+	found := false
+	for id, at := range v.guests {
+		if v.figures.Open(id) > 0 {
+			continue
+		}
+		if !found || at < v.guests[oldest] || at == v.guests[oldest] && id < oldest {
+			oldest, found = id, true
+		}
+	}
+	if !found {
+		return false
+	}
+	member := v.told[oldest]
+	member.State = choice.MemberGone
+	list.Members = append(list.Members, member)
+	delete(v.guests, oldest)
+	delete(v.told, oldest)
+	return true
+}
