The gateway and the fleet model go by subsets; control traffic is counted by purpose

Change: loop.go hands discovery's lists to the subset's view and the module what the view makes of them; section [subset] (most, remote, index), checked by key; the list's log line tells subset, joined and left. The model has run.subset, and counts probes. Counted at the connection, by purpose (discovery, probe, attempt): calls, connections opened, bytes each way; in the loop: time spent deciding and the age of the reports that attempts went by.

--- a/internal/conf/plan.go
+++ b/internal/conf/plan.go
@@ -268,7 +268,7 @@
 		return []key{micros("for", &s.For, "60s", time.Second, 24*hour, "virtual time of a run"),
 			micros("warm", &s.Warm, "5s", 0, hour, "what is sent before is not counted"),
 			micros("window", &s.Window, "10s", time.Second, hour, "the spans that are told apart"),
-			count("gateways", &s.Gateways, "3", 1, 10_000, "how many")}
+			count("gateways", &s.Gateways, "3", 1, 10_000, "how many"), count("subset", &s.Subset, "0", 0, 10_000, "replicas that a gateway works with; 0: all")}
 	case "network":
 		return []key{micros("near", &s.Near, "250us", 0, time.Second, "one way within a zone"),
 			micros("far", &s.Far, "10ms", 0, time.Second, "one way between two zones"),
--- a/internal/conf/schema.go
+++ b/internal/conf/schema.go
@@ -15,6 +15,7 @@
 	"github.com/dustin/go-humanize"
 
 	"archknot/internal/contract"
+	"archknot/internal/subset"
 )
 
 // Config is archknot's own settings, checked and complete.
@@ -29,6 +30,14 @@
 	Contracts Contracts
 	Metrics   Metrics
 	Peers     Peers
+	Subset    Subset
+}
+
+// Subset is the part of a large fleet that the gateway works with.
+type Subset struct {
+	Most   int
+	Remote float64
+	Index  int
 }
 
 // Log is what is written to standard error.
@@ -171,6 +180,11 @@
 			count("records", &c.Peers.Records, "4096", 16, 100_000, "requests of others that are noted at once"),
 			count("records-each", &c.Peers.Each, "1024", 16, 100_000, "and for one gateway"),
 		}},
+		{"subset", "The part of a large fleet that this gateway works with: docs/operate/subsets.md.", []key{
+			count("most", &c.Subset.Most, strconv.Itoa(subset.DefaultMost), 0, 100_000, "replicas it works with, 16 or more; lists up to so many pass whole; 0: all do"),
+			share("remote", &c.Subset.Remote, "25%", "the part that is drawn from all zones alike: what it goes on with if its own is lost"),
+			count("index", &c.Subset.Index, "-1", -1, 10_000_000, "its number among the gateways, or among those of its zone; -1: the platform's"),
+		}},
 		{"control-service", "The control service that numbered versions of the configuration come from: docs/operate/streamed-configuration.md.", []key{
 			path("address", &c.Service.Address, "", "host:port; none if not given, and then nothing is streamed"),
 			choiceOf("form", &c.Service.Form, "world", "the stream's form: all resources each time, or changes only", "world", "delta"),
@@ -406,6 +420,9 @@
 	}
 }
 
+// leastSubset is the least bound on a subset: in fewer replicas one that fails is too large a part.
+const leastSubset = 16
+
 // together checks what no key can tell by itself.
 func (c *Config) together(r *reader, file string, seen map[string]entry) {
 	at := func(key, format string, args ...any) {
@@ -433,6 +450,9 @@
 			at("metrics.listen", "expected host:port, got %q", l)
 		}
 	}
+	if most := c.Subset.Most; most != 0 && most < leastSubset {
+		at("subset.most", "expected 0, or %d or more, got %d", leastSubset, most)
+	}
 	if err := contract.Check(c.Contracts.Teams); err != nil {
 		r.problem(file, posNone, "", "%v", err)
 	}
--- a/internal/fleet/model/model.go
+++ b/internal/fleet/model/model.go
@@ -22,6 +22,7 @@
 	"archknot/internal/contract"
 	"archknot/internal/fleet/engine"
 	"archknot/internal/fleet/worker"
+	"archknot/internal/subset"
 )
 
 // Group is some workers alike.
@@ -92,6 +93,7 @@
 	Book      contract.Settings
 	Capture   string // folder of captures; "": none
 	Window    choice.Micros
+	Subset    int // replicas that a gateway works with; 0: all
 	Drill     Drill
 	Strikes   []Strike // at gateways, by drills with processes alone
 }
@@ -550,6 +552,7 @@
 	zone     string
 	b        *choice.Balancer
 	m        capture.Module
+	view     *subset.View
 	book     *contract.Book
 	books    capture.Books
 	rec      *capture.Recorder
@@ -632,6 +635,8 @@
 		return nil, err
 	}
 	g.m = g.b
+	g.view = subset.NewView(subset.Settings{Most: x.s.Subset, Index: i, Zone: s.Zone, Remote: subset.DefaultRemote,
+		Weighted: s.Weights == choice.WeightNominal, ColdFor: s.ColdFor}, g.b)
 	if len(x.s.Contracts) > 0 {
 		if g.book, err = contract.New(x.s.Book, x.s.Contracts, start, start); err != nil {
 			return nil, err
@@ -687,7 +692,7 @@
 			}
 		}
 	}
-	g.m.ListChanged(now, list)
+	g.m.ListChanged(now, g.view.Apply(now, list))
 }
 
 // changed answers a watch that is out.
@@ -709,7 +714,7 @@
 		}
 	}
 	g.seen = g.x.version
-	g.m.ListChanged(now, l)
+	g.m.ListChanged(now, g.view.Apply(now, l))
 	g.waiting = true // the gateway's watch goes on by itself
 	g.watched()
 }
@@ -809,6 +814,9 @@
 		r.in.Factor, r.over, r.thought = max(1e-6, v.Worth), v.Over, r.charge.Thought
 	}
 	g.x.e.At(r.deadline, func(now choice.Micros) { g.leave(now, r) })
+	if home, tell := g.view.Home(now, &r.in); tell {
+		g.m.ListChanged(now, home)
+	}
 	g.m.RequestArrived(now, r.in)
 }
 
@@ -971,6 +979,7 @@
 
 // Probe: choice.Sink.
 func (g *gateway) Probe(to choice.ReplicaID) {
+	g.x.res.Probes++
 	h, began := g.x.workers[to-1], g.x.e.Now()
 	g.x.e.After(g.x.way(g.zone, h.zone), func(choice.Micros) {
 		o := choice.Outcome{Replica: to, Status: choice.Served, Report: h.report()}
--- a/internal/fleet/model/result.go
+++ b/internal/fleet/model/result.go
@@ -44,6 +44,7 @@
 	Reused     int64   `json:"reused"` // tokens that were kept and not read again
 	Preempt    int64   `json:"preempted"`
 	Declined   int64   `json:"declined"`
+	Probes     int64   `json:"probes"`
 	Busy       float64 `json:"busy"` // of the workers' time
 	s          *Spec
 	workers    int
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"archknot/choice"
+	"archknot/internal/figures"
 	"archknot/internal/memory"
 	"archknot/internal/wire/socket"
 )
@@ -57,6 +58,7 @@
 		return choice.ConnectFailed
 	}
 	e.reused = c.Reused
+	c.Carry(&g.meters[figures.Attempt])
 	keep := false
 	// A cancelled attempt frees its connection at once, whatever waits on it.
 	unhook := context.AfterFunc(d.Ctx, func() { c.Close() })
@@ -74,8 +76,7 @@
 	}
 	hand.sends()
 	c.SetDeadline(cutAt)
-	buffers := net.Buffers{socket.JobHead(r, len(body), d.CutAt-g.clock.now()), body}
-	if _, err := buffers.WriteTo(c.Conn); err != nil {
+	if err := c.WriteParts(net.Buffers{socket.JobHead(r, len(body), d.CutAt-g.clock.now()), body}); err != nil {
 		// The last byte was never written, so the worker did not start.
 		return broken(d, err, choice.ConnectFailed)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,8 +13,10 @@
 
 	"archknot/choice"
 	"archknot/internal/contract/ledger"
+	"archknot/internal/figures"
 	"archknot/internal/memory"
 	"archknot/internal/peers"
+	"archknot/internal/subset"
 	"archknot/internal/wire/socket"
 )
 
@@ -32,6 +34,7 @@
 	SpareConns     int // accepted past them, to be told that the gateway is full
 	WorkerConns    int // connections to workers at once
 	BodyBytes      int64
+	MostInstances  int // entries of discovery's list; 0: no bound
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // a kept connection to a worker is closed after so long
 	ConnRest       time.Duration // and carries nothing before so long
@@ -43,33 +46,36 @@
 	CallTimeout    time.Duration // how much longer an answer of the registry may take
 	DrainAccept    time.Duration // how long SIGTERM leaves the listener open
 
-	Capture   *Capture       // nil: nothing is recorded
-	Contracts *Contracts     // nil: there are none
-	Ledger    *ledger.Store  // of teams' balances; nil: they are not kept
-	Peers     *peers.Service // nil: gateways do not talk
+	Subset    subset.Settings // the part of the fleet that it works with
+	Capture   *Capture        // nil: nothing is recorded
+	Contracts *Contracts      // nil: there are none
+	Ledger    *ledger.Store   // of teams' balances; nil: they are not kept
+	Peers     *peers.Service  // nil: gateways do not talk
 
 	Ended func(bad bool) // told of each request that ends: late or not served, or well; nil: nobody
 }
 
 // Gateway serves clients by the decisions of one choice.Balancer.
 type Gateway struct {
-	o        Options
-	clock    clock
-	pool     *memory.Pool
-	registry caller      // connections to the registry: apart, that workers' use leaves it one
-	moves    chan string // the registry's next address, of which only the last counts
-	loop     *loop
-	server   *http.Server
-	clients  *clients
-	live     atomic.Pointer[live] // what versions may change, as other tasks than the loop see it
-	rareFull rare                 // lines that clients can cause at will
-	rareAway rare
-	ready    atomic.Bool
-	serving  chan struct{} // closed once listener is set
-	listener net.Listener
-	stopped  chan struct{}  // closed once no connection is accepted any more
-	keeper   *ledger.Writer // nil: balances are not kept
-	agreed   atomic.Bool    // there are contracts
+	meters       [figures.Purposes]figures.Meter
+	o            Options
+	clock        clock
+	pool         *memory.Pool
+	registry     caller      // connections to the registry: apart, that workers' use leaves it one
+	moves        chan string // the registry's next address, of which only the last counts
+	loop         *loop
+	server       *http.Server
+	clients      *clients
+	live         atomic.Pointer[live] // what versions may change, as other tasks than the loop see it
+	refusedLists atomic.Int64         // lists of discovery's that were not taken
+	rareFull     rare                 // lines that clients can cause at will
+	rareAway     rare
+	ready        atomic.Bool
+	serving      chan struct{} // closed once listener is set
+	listener     net.Listener
+	stopped      chan struct{}  // closed once no connection is accepted any more
+	keeper       *ledger.Writer // nil: balances are not kept
+	agreed       atomic.Bool    // there are contracts
 }
 
 // New returns a gateway, or tells why the module does not take its settings.
@@ -77,7 +83,7 @@
 	g := &Gateway{o: o, clock: newClock(), moves: make(chan string, 1), serving: make(chan struct{}), stopped: make(chan struct{}),
 		pool: memory.NewPool(o.WorkerConns, o.ConnIdle, o.ConnectTimeout)}
 	g.pool.Rest(o.ConnRest)
-	g.registry = caller{pool: memory.NewPool(2, o.ConnIdle, o.CallTimeout)}
+	g.registry = caller{memory.NewPool(2, o.ConnIdle, o.CallTimeout), &g.meters[figures.Discovery]}
 	g.live.Store(&live{classes: o.Settings.Classes, mostHeld: o.MostHeld, maxRetryAfter: o.Settings.MaxRetryAfter,
 		watchWait: o.WatchWait, callTimeout: o.CallTimeout})
 	g.clients = newClients(o.ClientConns, o.SpareConns, g.clock)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -10,7 +10,9 @@
 	"archknot/choice"
 	"archknot/internal/capture"
 	"archknot/internal/contract"
+	"archknot/internal/figures"
 	"archknot/internal/memory"
+	"archknot/internal/subset"
 	"archknot/internal/wire/socket"
 )
 
@@ -33,6 +35,10 @@
 	timers    timers
 	requests  *memory.Requests
 	registry  *memory.Registry
+	view      *subset.View // what of the registry's list the module is told
+	inForce   time.Time    // when the list came that is held
+	busy      time.Duration
+	reports   figures.ReportAge
 	told      bool                       // the registry itself has answered
 	book      *contract.Book             // nil: no contracts
 	books     capture.Books              // the book, or the recorder before it
@@ -52,6 +58,7 @@
 		return nil, err
 	}
 	l.m = l.b
+	l.view = subset.NewView(g.o.Subset, l.b)
 	return l, nil
 }
 
@@ -78,6 +85,7 @@
 			return
 		}
 		l.now = l.g.clock.now()
+		begun := time.Now()
 		if first != nil {
 			first.apply(l)
 		}
@@ -94,6 +102,7 @@
 			e.apply(l)
 		}
 		l.sites()
+		l.busy += time.Since(begun)
 		if len(l.timers) > 0 {
 			wake.Reset(time.Until(l.g.clock.at(l.timers[0].at)))
 		}
@@ -150,6 +159,9 @@
 	if !l.admitted(e.r) {
 		return
 	}
+	if home, tell := l.view.Home(l.now, &e.r.In); tell {
+		l.m.ListChanged(l.now, home)
+	}
 	l.m.RequestArrived(l.now, e.r.In)
 }
 
@@ -285,9 +297,12 @@
 	for _, key := range left {
 		l.g.pool.CloseIdle(key)
 	}
-	l.m.ListChanged(l.now, out)
+	l.m.ListChanged(l.now, l.view.Apply(l.now, out))
+	l.inForce = l.g.clock.at(l.now)
 	if len(in.Instances) > 0 {
-		slog.Info("list", "kind", kindWords[kind], "version", in.Generation, "entries", len(in.Instances), "ready", l.registry.Ready())
+		of := l.view.Stats()
+		slog.Info("list", "kind", kindWords[kind], "version", in.Generation, "entries", len(in.Instances), "ready", l.registry.Ready(),
+			"subset", of.Subset, "joined", of.Joined, "left", of.Left)
 	}
 }
 
@@ -315,6 +330,7 @@
 	if w == nil { // the list has changed under the decision: it never ran
 		w = &memory.Worker{ID: to}
 	}
+	l.noteReport(to)
 	d := l.requests.Attempt(r, w, l.now, cutAt)
 	if !l.charged(d) {
 		return
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"strings"
 	"time"
 
 	"archknot/choice"
+	"archknot/internal/figures"
 	"archknot/internal/memory"
 	"archknot/internal/wire/socket"
 )
@@ -18,19 +20,24 @@
 var errConnect = errors.New("connect")
 
 // caller makes short calls without a body over kept connections.
-type caller struct{ pool *memory.Pool }
+type caller struct {
+	pool  *memory.Pool
+	meter *figures.Meter
+}
 
-// maxList bounds the registry's answer: room for some thousand workers.
-const maxList = 1 << 20
+// maxProbe bounds the answer to a probe, and what is read of one that is of no use so that its
+// connection can serve again.
+const maxProbe = 64 << 10
 
-// get fetches a path; the whole call takes no longer than the limit.
-func (c caller) get(ctx context.Context, key, addr, path string, limit time.Duration) (*http.Response, []byte, error) {
+// get fetches a path and has the answer's body read; the whole call takes no longer than the limit.
+func (c caller) get(ctx context.Context, key, addr, path string, limit time.Duration, read func(*http.Response, io.Reader) error) error {
 	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
 	conn, err := c.pool.Get(ctx, key, addr)
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: %w", errConnect, err)
+		return fmt.Errorf("%w: %w", errConnect, err)
 	}
+	conn.Carry(c.meter)
 	keep := false
 	unhook := context.AfterFunc(ctx, func() { conn.Close() })
 	defer func() {
@@ -41,21 +48,30 @@
 		}
 	}()
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
-		return nil, nil, fmt.Errorf("write: %w", err)
+		return fmt.Errorf("write: %w", err)
 	}
 	deadline, _ := ctx.Deadline()
 	conn.SetDeadline(deadline)
 	resp, err := readHead(conn, deadline)
 	if err != nil {
-		return nil, nil, fmt.Errorf("no answer: %w", err)
+		return fmt.Errorf("no answer: %w", err)
 	}
 	in := socket.NewBody(conn.R, resp)
-	body, err := in.ReadAll(maxList)
-	if err != nil {
-		return nil, nil, fmt.Errorf("answer cut off: %w", err)
+	body := in.Reader()
+	failed := read(resp, body)
+	whole := readsOut(body)
+	keep = whole && in.Ends() && !resp.Close && conn.R.Buffered() == 0
+	if failed == nil && !whole {
+		failed = errors.New("answer cut off or too long")
 	}
-	keep = in.Ends() && !resp.Close && conn.R.Buffered() == 0
-	return resp, body, nil
+	return failed
+}
+
+// readsOut reads the rest of a body, and tells whether it met its end.
+func readsOut(body io.Reader) bool {
+	rest := io.LimitedReader{R: body, N: maxProbe}
+	_, err := io.Copy(io.Discard, &rest)
+	return err == nil && rest.N > 0
 }
 
 // refused is how soon a call that meets nobody ends.
@@ -138,14 +154,21 @@
 }
 
 func (g *Gateway) callRegistry(ctx context.Context, addr, path string, limit time.Duration) (socket.List, error) {
-	resp, body, err := g.registry.get(ctx, addr, addr, path, limit)
-	if err != nil {
-		return socket.List{}, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return socket.List{}, fmt.Errorf("status %d", resp.StatusCode)
+	var list socket.List
+	limits := socket.ListLimits{Instances: g.o.MostInstances, Zones: g.o.Settings.Zones}
+	err := g.registry.get(ctx, addr, addr, path, limit, func(resp *http.Response, body io.Reader) (err error) {
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %d", resp.StatusCode)
+		}
+		list, err = socket.ReadList(body, limits)
+		return err
+	})
+	var bad *socket.BadList
+	if errors.As(err, &bad) {
+		g.refusedLists.Add(1)
+		slog.Error("list_refused", "err", bad.Reason, "refused_lists", g.refusedLists.Load())
 	}
-	return socket.ParseList(body)
+	return list, err
 }
 
 // probe asks a worker for its state, and for its load where there are reports.
@@ -156,19 +179,26 @@
 	}
 	start, begin := g.clock.now(), time.Now()
 	e := probed{w: w, status: choice.Served}
-	resp, body, err := caller{g.pool}.get(context.Background(), w.Key(), w.Addr, path, g.o.ProbeTimeout)
+	err := caller{g.pool, &g.meters[figures.Probe]}.get(context.Background(), w.Key(), w.Addr, path, g.o.ProbeTimeout, func(resp *http.Response, body io.Reader) error {
+		text, err := io.ReadAll(io.LimitReader(body, maxProbe))
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode != http.StatusOK {
+			e.status = choice.Errored
+			return nil
+		}
+		if e.report = socket.HeaderLoad(resp.Header); e.report.Has == 0 {
+			e.report = socket.Load(strings.TrimSpace(string(text)))
+		}
+		return nil
+	})
 	switch {
 	case errors.Is(err, errConnect):
 		e.status = choice.ConnectFailed
 	case err != nil:
-		e.status = choice.TimedOut
+		e.status, e.report = choice.TimedOut, choice.Report{}
 		g.pool.Doubt(w.Key(), begin)
-	case resp.StatusCode != http.StatusOK:
-		e.status = choice.Errored
-	default:
-		if e.report = socket.HeaderLoad(resp.Header); e.report.Has == 0 {
-			e.report = socket.Load(strings.TrimSpace(string(body)))
-		}
 	}
 	e.elapsed = g.clock.now() - start
 	g.loop.events <- e
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -66,6 +66,9 @@
 	// Of the memory, what request bodies may take up at once, and where the
 	// garbage collector begins to work harder.
 	bodyShare, heapShare = 0.2, 0.7
+	// What discovery's list may take up of the memory, and what an entry of it does: its strings,
+	// its places in maps, the decision module's row.
+	listShare, instanceBytes = 0.2, 1024
 	// What the operators' front and the protocol allow at a planned restart:
 	// connections come for up to 0.4 s, and nothing may arrive after 0.7 s.
 	drainAccept = 550 * time.Millisecond
@@ -212,6 +215,7 @@
 	o.ClientConns, o.SpareConns, o.WorkerConns = int(usable*clientShare), int(usable*spareShare), int(usable*workerShare)
 	o.MostHeld = min(extra.Limits.MostHeld, o.ClientConns)
 	o.BodyBytes = int64(memory * bodyShare * (1 << 20))
+	o.MostInstances = int(memory * listShare * (1 << 20) / instanceBytes)
 	o.ConnectTimeout = time.Duration(extra.Limits.ConnectTimeoutUs) * time.Microsecond
 	// Well below the workers' own limit: what is written to a connection that
 	// they have closed is lost with it.
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"archknot/choice"
 	"archknot/internal/build"
 	"archknot/internal/capture"
 	"archknot/internal/conf"
@@ -28,6 +29,7 @@
 	"archknot/internal/metrics"
 	"archknot/internal/peers"
 	"archknot/internal/revision"
+	"archknot/internal/subset"
 )
 
 // BadConfig says that the gateway was not started because of what it was told.
@@ -79,6 +81,16 @@
 	return out
 }
 
+// part is what the gateway's part of the fleet is worked out from.
+func part(c conf.Subset, s *choice.Settings) subset.Settings {
+	index := c.Index
+	if index < 0 {
+		index = s.Self
+	}
+	return subset.Settings{Most: c.Most, Index: index, Zone: s.Zone, Remote: c.Remote,
+		Weighted: s.Weights == choice.WeightNominal, ColdFor: s.ColdFor}
+}
+
 // link opens the way to the other gateways, if there is one; nil: there is none.
 func link(p conf.Peers, g gateway.Options) (*peers.Service, error) {
 	if p.Listen == "" {
@@ -154,6 +166,7 @@
 	defer closeLedger()
 	s.c.Gateway.Contracts = contracts(s.conf)
 	s.c.Gateway.Capture = recording(s.c.Gateway.Name, s.conf)
+	s.c.Gateway.Subset = part(s.conf.Subset, &s.c.Gateway.Settings)
 	runtime.GOMAXPROCS(s.c.Cores)
 	debug.SetMemoryLimit(s.c.MemoryMB << 20)
 	if s.c.Gateway.Peers, err = link(s.conf.Peers, s.c.Gateway); err != nil {
@@ -293,6 +306,9 @@
 	if was.Contracts.Store != settings.Contracts.Store {
 		slog.Warn("reload", "needs_restart", "contracts.store")
 	}
+	if was.Subset != settings.Subset {
+		slog.Warn("reload", "needs_restart", "subset")
+	}
 	if was.Peers != settings.Peers {
 		slog.Warn("reload", "needs_restart", "peers")
 	}
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"archknot/internal/figures"
 )
 
 // ErrFull says that the gateway may open no further connection.
@@ -23,6 +25,7 @@
 	net.Conn
 	R      *bufio.Reader
 	Reused bool // it has carried a request before
+	meter  *figures.Meter
 	key    string
 	usedAt time.Time
 }
@@ -78,7 +81,36 @@
 		p.release()
 		return nil, err
 	}
-	return &Conn{Conn: nc, R: bufio.NewReaderSize(nc, 2048), key: key}, nil
+	c := &Conn{Conn: nc, key: key}
+	c.R = bufio.NewReaderSize(c, 2048)
+	return c, nil
+}
+
+// Carry has a connection that Get returned counted for a purpose.
+func (c *Conn) Carry(m *figures.Meter) {
+	c.meter = m
+	m.Call(!c.Reused)
+}
+
+// Read reads from the connection, and counts it.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.In(n)
+	return n, err
+}
+
+// Write writes to the connection, and counts it.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.Out(n)
+	return n, err
+}
+
+// WriteParts writes several buffers at once, and counts them.
+func (c *Conn) WriteParts(parts net.Buffers) error {
+	n, err := parts.WriteTo(c.Conn)
+	c.meter.Out(int(n))
+	return err
 }
 
 func (p *Pool) kept(key string) *Conn {
