--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -641,7 +641,8 @@
 
 func TestSameEventsSameActions(t *testing.T) {
 	for seed := range int64(3) {
-		if randomRun(t, seed, nil) != randomRun(t, seed, nil) {
+		first, again := randomRun(t, seed, nil), randomRun(t, seed, nil)
+		if first != again {
 			t.Fatalf("seed %d: two runs differ", seed)
 		}
 	}
--- a/internal/boltfile/boltfile.go
+++ b/internal/boltfile/boltfile.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 )
 
 // Open opens the store at a path, mode 0600, with its buckets; read must be able
@@ -23,7 +24,7 @@
 		return nil, "", err
 	}
 	db, err = open(path, buckets, read)
-	if err == nil || errors.Is(err, bbolt.ErrTimeout) {
+	if err == nil || errors.Is(err, bolterrors.ErrTimeout) {
 		return db, "", err
 	}
 	var perr *os.PathError
--- a/internal/cli/capture.go
+++ b/internal/cli/capture.go
@@ -175,7 +175,7 @@
 		fmt.Fprintf(s.out, "events=%d missing=%d\n", out.Events, len(out.Missing))
 	}
 	if len(out.Missing) > 0 {
-		return no
+		return errNo
 	}
 	return nil
 }
@@ -361,7 +361,7 @@
 	}
 	if !found {
 		fmt.Fprintf(s.err, "archknot: request %q is not in the capture\n", c.ID)
-		return no
+		return errNo
 	}
 	return nil
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,8 +41,8 @@
 	getenv   func(string) string
 }
 
-// no is an answer that is no: what was found is told already.
-var no = errors.New("no")
+// errNo is an answer that is no: what was found is told already.
+var errNo = errors.New("no")
 
 // Main runs the command that the arguments name and returns the exit code.
 func Main(args []string, out, errOut io.Writer, getenv func(string) string) int {
@@ -78,7 +78,7 @@
 	switch {
 	case err == nil:
 		return Good
-	case errors.Is(err, no):
+	case errors.Is(err, errNo):
 		return No
 	case errors.As(err, &bad): // in the log's form: this is what a supervisor reads
 		fmt.Fprintf(s.err, "level=ERROR msg=failed err=%q\n", bad.Error())
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -46,7 +46,7 @@
 		fmt.Fprintf(s.out, "%s: good\n", c.File)
 	}
 	if err != nil {
-		return no
+		return errNo
 	}
 	return nil
 }
--- a/internal/cli/contracts.go
+++ b/internal/cli/contracts.go
@@ -118,7 +118,7 @@
 func (c *showContractCmd) Run(s *streams) error {
 	none := func() error {
 		fmt.Fprintf(s.err, "archknot: no contract %q\n", c.Team)
-		return no
+		return errNo
 	}
 	if c.File == "" {
 		list, err := c.accounts(s)
--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -118,7 +118,7 @@
 		}
 	}
 	if sum.Breaks+sum.Crashes > 0 {
-		return no
+		return errNo
 	}
 	return nil
 }
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -173,7 +173,7 @@
 		}
 	}
 	if len(bad) > 0 {
-		return no
+		return errNo
 	}
 	if !c.JSON {
 		fmt.Fprintln(s.out, "good")
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -80,7 +80,7 @@
 	}
 	fmt.Fprintf(s.out, "%s\n", res.Text())
 	if res.All.Ends["served"] == 0 {
-		return no
+		return errNo
 	}
 	return nil
 }
@@ -123,7 +123,7 @@
 		return err
 	}
 	if len(got) == 0 {
-		return no
+		return errNo
 	}
 	return nil
 }
--- a/internal/cli/replay.go
+++ b/internal/cli/replay.go
@@ -100,7 +100,7 @@
 		}
 	}
 	if bad {
-		return no
+		return errNo
 	}
 	return nil
 }
@@ -245,7 +245,7 @@
 		fmt.Fprintln(s.out, res.Line())
 	}
 	if res.Differ > 0 {
-		return no
+		return errNo
 	}
 	return nil
 }
@@ -277,7 +277,7 @@
 		}
 	}
 	if bad {
-		return no
+		return errNo
 	}
 	return nil
 }
--- a/internal/cli/site.go
+++ b/internal/cli/site.go
@@ -255,7 +255,7 @@
 			experiment.MeanInterval(served), f.Served, c.Seeds-outside, c.Seeds, experiment.MeanInterval(toLost))
 	}
 	if broken > 0 || 5*outside > c.Seeds {
-		return no
+		return errNo
 	}
 	return nil
 }
--- a/internal/cli/version.go
+++ b/internal/cli/version.go
@@ -34,7 +34,7 @@
 	var refused control.Refused
 	if errors.As(err, &refused) {
 		fmt.Fprintf(s.err, "archknot: the gateway cannot: %v\n", refused)
-		return no
+		return errNo
 	}
 	if err != nil {
 		return fmt.Errorf("no gateway answers at %s: %w", path, err)
@@ -157,7 +157,7 @@
 		}
 	}
 	if len(differ) > 0 {
-		return no
+		return errNo
 	}
 	return nil
 }
--- a/internal/contract/ways_test.go
+++ b/internal/contract/ways_test.go
@@ -1,7 +1,6 @@
 package contract
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -220,8 +219,8 @@
 		}
 		f.cost = float64(time.Since(begin).Nanoseconds()) / float64(n)
 		rows[name] = f
-		t.Log(fmt.Sprintf("%-22s surge's share off by %5.2f%%; alone %5.1f%% of the whole; back: lacks %5.1f%%; by chance %5.2f%%; dear off by %5.2f%%; %4.0f ns",
-			name, 100*f.surge, 100*f.alone, 100*f.back, 100*f.chance, 100*f.dear, f.cost))
+		t.Logf("%-22s surge's share off by %5.2f%%; alone %5.1f%% of the whole; back: lacks %5.1f%%; by chance %5.2f%%; dear off by %5.2f%%; %4.0f ns",
+			name, 100*f.surge, 100*f.alone, 100*f.back, 100*f.chance, 100*f.dear, f.cost)
 	}
 	f := rows["4 buckets with a pool"]
 	if f.surge > 0.03 || f.alone < 0.98 || f.back > 0.02 {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -468,7 +468,6 @@
 	res.Ends, res.Classes = map[string]int{}, map[string]*Class{}
 	type request struct {
 		first, last emulate.Try
-		started     bool
 	}
 	// A client whose request nobody had heard of sends it under a new id: the story
 	// goes on under the first one.
--- a/internal/revision/model_test.go
+++ b/internal/revision/model_test.go
@@ -22,7 +22,6 @@
 	open      bool
 	wantOpen  bool
 	last      map[Type]Response // of this stream
-	broken    map[Type]bool
 	nonces    int
 	answered  map[string]string // nonce: "" acknowledged, else why not
 	whole     map[Number]bool   // versions that were whole on some stream
--- a/internal/revision/sim_test.go
+++ b/internal/revision/sim_test.go
@@ -92,7 +92,6 @@
 	acks    map[string]bool // nonces answered, and by what
 	applied []Number
 	wake    choice.Micros
-	loseAck bool
 }
 
 func newFleet(t testing.TB, seed uint64, gateways int) *fleet {
--- a/internal/takeover/node.go
+++ b/internal/takeover/node.go
@@ -92,12 +92,10 @@
 type claim struct {
 	question
 	ask      uint32
-	terms    Terms
 	phase    phase
 	found    bool
 	rec      Message // the newest that was told of it
 	giver    Member
-	dead     int
 	deadline Micros
 }
 
