--- a/choice/discovery.go
+++ b/choice/discovery.go
@@ -47,10 +47,10 @@
 			}
 		}
 	}
+	b.fleet = l.Fleet
 	for _, m := range l.Members {
 		b.listed(now, m, !b.firstList)
 	}
-	b.fleet = l.Fleet
 	if l.Kind.Heard() {
 		b.firstList = true
 	}
--- a/choice/inspect.go
+++ b/choice/inspect.go
@@ -25,14 +25,6 @@
 	return out
 }
 
-// Open is how many attempts are out at a replica.
-func (b *Balancer) Open(id ReplicaID) int {
-	if w := b.byID[id]; w != nil {
-		return len(w.open)
-	}
-	return 0
-}
-
 // ReportAge is how old the last report of a replica's load is, if there is one.
 func (b *Balancer) ReportAge(now Micros, id ReplicaID) (age Micros, known bool) {
 	w := b.byID[id]
--- a/choice/table.go
+++ b/choice/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sort"
 )
 
@@ -59,6 +58,8 @@
 		} else if !first {
 			b.startCold(w, now)
 		}
+	} else if b.fleet > 0 && w.state == MemberGone && m.Since == w.since && m.Since > 0 {
+		w.reportAt = -1 // on this gateway's part of the list again, in the same life
 	} else if m.Since != w.since && m.Since > 0 || w.state == MemberGone {
 		b.startCold(w, max(m.Since, w.since))
 		if m.Since == w.since || m.Since == 0 {
@@ -226,61 +227,6 @@
 	return math.Max(weight, readCost*readMore)
 }
 
-// sparse tells that there are so many gateways that one hears too seldom of a worker
-// for its own answers' reports to say how loaded it is now.
-func (b *Balancer) sparse() bool {
-	return b.s.Gateways > sparseFrom && b.s.MayProbe && b.s.ReportVia != ReportNone
-}
-
-// sharers is how many gateways send to a replica: all of them, or as many as have it on their
-// parts of the list.
-func (b *Balancer) sharers() float64 {
-	if b.fleet <= b.ready {
-		return float64(b.s.Gateways)
-	}
-	return math.Max(1, float64(b.s.Gateways)*float64(b.ready)/float64(b.fleet))
-}
-
-// wildcard puts a replica drawn by chance in the last place of the short list, the cold one
-// that is offered before others: of one that no reckoning favours, as of one that is new,
-// nothing would ever be heard.
-func (b *Balancer) wildcard(now Micros, r *request) {
-	if w := b.offered; w != nil && b.usable(now, w, r, false) {
-		if w != b.short[0].row && w != b.short[1].row {
-			b.short[shortList-1] = candidate{row: w}
-		}
-		return
-	}
-	n := len(b.rows)
-	for i, k := 0, int(b.random()*float64(n)); i < n; i++ {
-		w := b.rows[(k+i)%n]
-		if w != b.short[0].row && w != b.short[1].row && b.usable(now, w, r, false) {
-			b.short[shortList-1] = candidate{row: w}
-			return
-		}
-	}
-}
-
-// inquire asks the workers on the short list for reports where theirs are old, when r
-// has just come, and tells whether r is to wait for answers that are out.
-func (b *Balancer) inquire(now Micros, r *request) (wait bool) {
-	if !b.asking {
-		return b.sparse() && len(r.attempts) == 0 && now > r.arrived && now < r.arrived+askWait &&
-			slices.ContainsFunc(b.rows, func(w *row) bool { return w.probing && w.probed == r.arrived })
-	}
-	b.wildcard(now, r)
-	for _, c := range b.short {
-		if c.row == nil {
-			break
-		}
-		if !c.row.probing && (c.row.reportAt < 0 || now-c.row.reportAt > askOlder || b.doubted(now, c.row)) {
-			b.ask(now, c.row)
-		}
-		wait = wait || c.row.probing && c.row.probed == now
-	}
-	return wait
-}
-
 // seen tells how likely w, if it started lately, has read what it gets so often.
 func (b *Balancer) seen(now Micros, w *row, perSecond float64) float64 {
 	if w.coldUntil == 0 {
--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -21,7 +21,9 @@
 )
 
 type drillCmd struct {
-	Run drillRunCmd `cmd:"" help:"Start many gateways as processes before an emulated fleet, strike them as a plan says, and check the rules."`
+	Scale     drillScaleCmd `cmd:"" help:"Measure what grows with a fleet: hollow replicas and gateways, and some real ones beside them."`
+	ScaleRole scaleRoleCmd  `cmd:"" hidden:"" help:"A process of a scale run."`
+	Run       drillRunCmd   `cmd:"" help:"Start many gateways as processes before an emulated fleet, strike them as a plan says, and check the rules."`
 }
 
 type drillRunCmd struct {
--- /dev/null
+++ b/internal/drill/scale/discovery.go
@@ -0,0 +1,186 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"archknot/internal/conf"
+	"archknot/internal/wire/socket"
+)
+
+// DiscoverySpec is what the stand-in for discovery starts with.
+type DiscoverySpec struct {
+	Instances []socket.Instance `json:"instances"`
+	Framing   string            `json:"framing"`
+}
+
+// discovery is a stand-in for discovery: whole lists, changes since a version, and watches, in any
+// legal framing. While it is out it accepts nothing.
+type discovery struct {
+	framing string
+	server  *http.Server
+	meter   connMeter
+	lists   atomic.Int64
+
+	mu        sync.Mutex
+	version   int64
+	instances []socket.Instance
+	changed   []int64       // the version of each instance's last change
+	news      chan struct{} // closed at the next change
+}
+
+func startDiscovery(spec DiscoverySpec) (*discovery, Hello, error) {
+	d := &discovery{framing: spec.Framing, version: 1, instances: spec.Instances, changed: make([]int64, len(spec.Instances)), news: make(chan struct{})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, Hello{}, err
+	}
+	d.server = &http.Server{Handler: d}
+	go d.server.Serve(countedListener{l, &d.meter})
+	return d, Hello{Address: l.Addr().String()}, nil
+}
+
+func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != socket.ListPath {
+		http.NotFound(w, r)
+		return
+	}
+	d.lists.Add(1)
+	since, err := strconv.ParseInt(r.FormValue("since"), 10, 64)
+	if err != nil {
+		since = socket.NoVersion
+	}
+	wait, _ := strconv.Atoi(r.FormValue("timeout_ms"))
+	if !d.waitForNews(r.Context(), since, time.Duration(min(wait, 60_000))*time.Millisecond) {
+		return
+	}
+	d.write(w, d.listSince(since))
+}
+
+// waitForNews waits until there is a later version, or for as long as the caller allows.
+func (d *discovery) waitForNews(ctx context.Context, since int64, wait time.Duration) bool {
+	d.mu.Lock()
+	version, news := d.version, d.news
+	d.mu.Unlock()
+	if since != version {
+		return true
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-news:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// listSince is the whole list, or what has changed since a version.
+func (d *discovery) listSince(since int64) socket.List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := socket.List{Generation: d.version, Reset: since < 0 || since > d.version}
+	for i, instance := range d.instances {
+		if list.Reset || d.changed[i] > since {
+			list.Instances = append(list.Instances, instance)
+		}
+	}
+	return list
+}
+
+// chunkSize is that of a list in many chunks.
+const chunkSize = 4096
+
+// write writes a list in the framing that was asked for.
+func (d *discovery) write(w http.ResponseWriter, list socket.List) {
+	if list.Instances == nil {
+		list.Instances = []socket.Instance{}
+	}
+	text, err := json.Marshal(list)
+	if d.framing == conf.FramingIndented {
+		text, err = json.MarshalIndent(list, "", "  ")
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	switch d.framing {
+	case conf.FramingOneChunk:
+		writeOneChunk(w, text)
+	case conf.FramingChunks:
+		flush := http.NewResponseController(w)
+		for part := range slicesOf(text, chunkSize) {
+			w.Write(part)
+			_ = flush.Flush()
+		}
+	default:
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		w.Write(text)
+	}
+}
+
+// slicesOf yields a text in pieces.
+func slicesOf(text []byte, size int) func(yield func([]byte) bool) {
+	return func(yield func([]byte) bool) {
+		for len(text) > 0 {
+			n := min(size, len(text))
+			if !yield(text[:n]) {
+				return
+			}
+			text = text[n:]
+		}
+	}
+}
+
+// writeOneChunk writes a body as one chunk, which net/http does not by itself, and closes.
+func writeOneChunk(w http.ResponseWriter, text []byte) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+	_, _ = io.Copy(c, &b)
+}
+
+// Answer tells figures, or changes one replica: it begins to drain, or takes work again.
+func (d *discovery) Answer(_ context.Context, o Order) Answer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch o.Do {
+	case OrderLook:
+	case OrderChange:
+		d.change()
+	default:
+		return Answer{Error: "discovery: unknown order " + o.Do}
+	}
+	return Answer{Version: d.version, At: time.Now(), Usage: usage(),
+		Calls: Calls{Lists: d.lists.Load(), BytesIn: d.meter.in.Load(), BytesOut: d.meter.out.Load()}}
+}
+
+func (d *discovery) change() {
+	d.version++
+	i := int(d.version/2) % len(d.instances) // each changes twice in a row
+	if next := &d.instances[i]; next.Lifecycle == "ready" {
+		next.Lifecycle = "draining"
+	} else {
+		next.Lifecycle = "ready"
+	}
+	d.changed[i] = d.version
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// Close ends the stand-in.
+func (d *discovery) Close() { d.server.Close() }
--- /dev/null
+++ b/internal/drill/scale/gateways.go
@@ -0,0 +1,202 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"archknot/choice"
+	"archknot/internal/conf"
+	"archknot/internal/gateway"
+	"archknot/internal/lifecycle"
+	"archknot/internal/wire"
+)
+
+// GatewaysSpec is what gateways are made by, hollow ones and processes alike.
+type GatewaysSpec struct {
+	First     int     `json:"first"` // index of the first
+	Count     int     `json:"count"`
+	Of        int     `json:"of"` // how many each is told there are
+	Discovery string  `json:"discovery"`
+	Zones     int     `json:"zones"`
+	Subset    int     `json:"subset"`
+	Probe     bool    `json:"probe"`
+	Rate      float64 `json:"rate"`
+	Seed      uint64  `json:"seed"`
+}
+
+// The limits that gateways are told.
+const (
+	gatewayMemoryMB = 128
+	gatewaySockets  = 1024
+)
+
+// config is the platform's configuration of one gateway.
+func (s *GatewaysSpec) config(index int, listen string) ([]byte, error) {
+	const second = 1_000_000
+	settings := choice.Settings{Self: index, Gateways: s.Of, Zone: zoneName(index % s.Zones), Kinds: []string{"kind-0", "kind-1"},
+		Classes:   []choice.Class{{Name: "chat", Aim: second, AimPer1000: second / 10, TokenAim: second, Deadline: 10 * second, Worth: 1, Stream: true}},
+		Tenants:   []choice.Tenant{{Name: "chats", QuotaPerS: 1e6}},
+		ReportVia: choice.ReportInline, Weights: choice.WeightNone, AskRegistry: true, Tick: 2000, MayProbe: s.Probe, MayCancel: true,
+		MaxAttempts: 3, MaxRetryAfter: second, StartCapacity: 0.3, FallMultiple: 3, ColdFor: 9 * second, FallSpan: 3 * second / 2,
+		ConnStreams: 1, ConnIdle: 45 * second, PriceCrossZone: 0.02, PriceHandshake: 0.02, PriceProbe: 0.002}
+	for i := range s.Zones {
+		settings.Zones = append(settings.Zones, zoneName(i))
+	}
+	text, err := wire.WriteSettings(settings)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(platformConfig{Name: fmt.Sprintf("g%d", index), Listen: listen, Discovery: s.Discovery, Seed: fmt.Sprintf("%x", s.Seed+uint64(index)),
+		Limits: platformLimits{Cores: 1, MemoryMB: gatewayMemoryMB, Sockets: gatewaySockets}, Settings: text})
+}
+
+// platformConfig is the file that NODE_CONFIG names.
+type platformConfig struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    platformLimits  `json:"limits"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+type platformLimits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  float64 `json:"sockets"`
+}
+
+// gateways are hollow gateways of one process: the program's own, with clients in the same process.
+type gateways struct {
+	list   []*gateway.Gateway
+	client *driver
+	stop   context.CancelFunc
+}
+
+func startGateways(ctx context.Context, spec GatewaysSpec) (*gateways, Hello, error) {
+	ctx, stop := context.WithCancel(ctx)
+	p := &gateways{client: newDriver(spec.Rate, spec.Seed), stop: stop}
+	own := conf.Default()
+	own.Subset.Most = spec.Subset
+	for i := range spec.Count {
+		text, err := spec.config(spec.First+i, "127.0.0.1:1")
+		if err != nil {
+			return nil, Hello{}, err
+		}
+		options, err := lifecycle.GatewayOptions(text, own)
+		if err != nil {
+			return nil, Hello{}, err
+		}
+		g, err := gateway.New(options)
+		if err != nil {
+			return nil, Hello{}, err
+		}
+		p.list = append(p.list, g)
+		l := newMemoryListener()
+		go g.Serve(ctx, l)
+		p.client.drive("hollow", l.dial)
+	}
+	return p, Hello{}, nil
+}
+
+// lookWithin bounds the time in which a gateway tells its figures.
+const lookWithin = 10 * time.Second
+
+// Answer tells figures.
+func (p *gateways) Answer(ctx context.Context, o Order) Answer {
+	if o.Do != OrderLook {
+		return Answer{Error: "gateways: unknown order " + o.Do}
+	}
+	a := Answer{At: time.Now(), Usage: usage()}
+	ctx, stop := context.WithTimeout(ctx, lookWithin)
+	defer stop()
+	for _, g := range p.list {
+		c, err := g.Control(ctx)
+		if err != nil {
+			return Answer{Error: err.Error()}
+		}
+		a.Gateways = append(a.Gateways, c)
+	}
+	a.Served, a.Unserved = p.client.served.Load(), p.client.unserved.Load()
+	return a
+}
+
+// Close ends all gateways.
+func (p *gateways) Close() {
+	p.client.close()
+	p.stop()
+}
+
+// memoryListener hands connections to a server that stay in this process: pairs of connected
+// descriptors, for the gateway asks the system about its clients' connections.
+type memoryListener struct {
+	accept chan net.Conn
+	ended  chan struct{}
+}
+
+func newMemoryListener() *memoryListener {
+	return &memoryListener{accept: make(chan net.Conn), ended: make(chan struct{})}
+}
+
+func (l *memoryListener) dial(ctx context.Context) (net.Conn, error) {
+	here, there, err := connPair()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case l.accept <- there:
+		return here, nil
+	case <-l.ended:
+		err = net.ErrClosed
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	here.Close()
+	there.Close()
+	return nil, err
+}
+
+// connPair is two ends of one connection.
+func connPair() (a, b net.Conn, err error) {
+	ends, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	if a, err = descriptorConn(ends[0]); err != nil {
+		unix.Close(ends[1])
+		return nil, nil, err
+	}
+	if b, err = descriptorConn(ends[1]); err != nil {
+		a.Close()
+		return nil, nil, err
+	}
+	return a, b, nil
+}
+
+func descriptorConn(fd int) (net.Conn, error) {
+	f := os.NewFile(uintptr(fd), "pair")
+	defer f.Close() // the connection has a copy
+	return net.FileConn(f)
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	close(l.ended)
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
--- /dev/null
+++ b/internal/drill/scale/processes.go
@@ -0,0 +1,154 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"archknot/internal/control"
+	"archknot/internal/figures"
+	"archknot/internal/wire/socket"
+)
+
+// processes are gateways that run as `archknot serve`.
+type processes struct{ list []*process }
+
+type process struct {
+	address string
+	control string
+	log     *os.File
+	cmd     *exec.Cmd
+}
+
+// startProcesses starts gateways with the indexes behind the hollow ones'.
+func startProcesses(program, dir string, spec GatewaysSpec, n int) (*processes, error) {
+	all := &processes{}
+	for i := range n {
+		p, err := startProcess(program, dir, spec, spec.First+i)
+		if err != nil {
+			all.close()
+			return nil, err
+		}
+		all.list = append(all.list, p)
+	}
+	return all, nil
+}
+
+func startProcess(program, dir string, spec GatewaysSpec, index int) (*process, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	path := func(ending string) string { return filepath.Join(dir, fmt.Sprintf("g%d.%s", index, ending)) }
+	text, err := spec.config(index, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(path("json"), text, 0o600); err != nil {
+		return nil, err
+	}
+	p := &process{address: address, control: path("socket")}
+	own := fmt.Sprintf("[log]\nlevel warn\n[control]\nsocket %s\n[subset]\nmost %d\n", p.control, spec.Subset)
+	if err := os.WriteFile(path("conf"), []byte(own), 0o600); err != nil {
+		return nil, err
+	}
+	if p.log, err = os.Create(path("log")); err != nil {
+		return nil, err
+	}
+	p.cmd = exec.Command(program, "serve", "--config", path("conf"))
+	p.cmd.Env = append(os.Environ(), "NODE_CONFIG="+path("json"), "NODE_NAME=", "NODE_LISTEN=", "NODE_DISCOVERY=", "NODE_SOCKET_FD=", "ARCHKNOT_CONF=")
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	return p, p.cmd.Start()
+}
+
+// freeAddress is a loopback address that nothing listens at.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// ready waits until all take clients.
+func (all *processes) ready(ctx context.Context) error {
+	client := &http.Client{Timeout: time.Second}
+	for _, p := range all.list {
+		for {
+			resp, err := client.Get("http://" + p.address + socket.ReadyPath)
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if !pause(ctx, 50*time.Millisecond) {
+				return fmt.Errorf("%s is not ready: %w", p.address, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// look asks a process for its figures.
+func (p *process) look(ctx context.Context) (c figures.Control, u Usage, err error) {
+	if err := control.Call(ctx, p.control, "figures", struct{}{}, &c); err != nil {
+		return c, u, err
+	}
+	pid := p.cmd.Process.Pid
+	return c, Usage{CPU: processorTime(pid), ResidentMB: residentMB(pid)}, nil
+}
+
+func (all *processes) close() {
+	if all == nil {
+		return
+	}
+	for _, p := range all.list {
+		if p.cmd.Process != nil {
+			_ = p.cmd.Process.Kill()
+			_ = p.cmd.Wait()
+		}
+		p.log.Close()
+	}
+}
+
+// processorTime is what a process has used of the processors (proc(5)).
+func processorTime(pid int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	const user, system, tick = 11, 12, 10 * time.Millisecond
+	if len(fields) <= system {
+		return 0
+	}
+	u, _ := strconv.ParseInt(fields[user], 10, 64)
+	s, _ := strconv.ParseInt(fields[system], 10, 64)
+	return time.Duration(u+s) * tick
+}
+
+// residentMB is a process's resident memory; 0 if there is none.
+func residentMB(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseFloat(fields[1], 64)
+	return pages * float64(os.Getpagesize()) / (1 << 20)
+}
--- /dev/null
+++ b/internal/drill/scale/replicas.go
@@ -0,0 +1,198 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"archknot/internal/wire/socket"
+)
+
+// ReplicasSpec is what hollow replicas are made by.
+type ReplicasSpec struct {
+	First      int           `json:"first"` // number of the first
+	Count      int           `json:"count"`
+	Zones      int           `json:"zones"`
+	Seed       uint64        `json:"seed"`
+	FirstEvent time.Duration `json:"first_event"` // median time to it
+	Events     int           `json:"events"`
+	Gap        time.Duration `json:"gap"` // between two events
+}
+
+// replicas are hollow replicas of one process: each has an address, id, zone, kind and start of its
+// own, answers attempts, probes and load reports after a drawn time, and does no work.
+type replicas struct {
+	spec   ReplicasSpec
+	server *http.Server
+	states map[string]*replicaState // by address
+	order  []*replicaState
+	meter  connMeter
+	calls  [2]atomic.Int64 // attempts, probes
+}
+
+type replicaState struct {
+	running atomic.Int64
+	conns   atomic.Int64
+}
+
+// replicaPort is the port of every hollow replica; their addresses differ.
+const replicaPort = 18081
+
+// replicaAddress is the loopback address of a replica by its number.
+func replicaAddress(n int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 64+n/62_500, n/250%250, 1+n%250, replicaPort)
+}
+
+func startReplicas(spec ReplicasSpec) (*replicas, Hello, error) {
+	p := &replicas{spec: spec, states: map[string]*replicaState{}}
+	p.server = &http.Server{Handler: p, IdleTimeout: time.Minute, ConnState: p.follow}
+	rng := rand.New(rand.NewPCG(spec.Seed, 3))
+	var hello Hello
+	for i := range spec.Count {
+		n := spec.First + i
+		addr := replicaAddress(n)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			p.Close()
+			return nil, hello, err
+		}
+		state := &replicaState{}
+		p.states[addr] = state
+		p.order = append(p.order, state)
+		go p.server.Serve(countedListener{l, &p.meter})
+		up := time.Duration(float64(time.Hour) * (1 + 99*rng.Float64()))
+		hello.Instances = append(hello.Instances, socket.Instance{ID: fmt.Sprintf("replica-%05d", n), Addr: addr, Zone: zoneName(n % spec.Zones),
+			Kind: fmt.Sprintf("kind-%d", n%2), Lifecycle: "ready", Weight: 1, StartedAtMs: time.Now().Add(-up).UnixMilli()})
+	}
+	return p, hello, nil
+}
+
+func zoneName(n int) string { return fmt.Sprintf("zone-%d", n) }
+
+// follow counts the connections of each replica.
+func (p *replicas) follow(c net.Conn, s http.ConnState) {
+	state := p.states[c.LocalAddr().String()]
+	switch s {
+	case http.StateNew:
+		state.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		state.conns.Add(-1)
+	}
+}
+
+func (p *replicas) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	state := p.states[r.Context().Value(http.LocalAddrContextKey).(net.Addr).String()]
+	switch r.URL.Path {
+	case socket.StatsPath:
+		p.calls[1].Add(1)
+		io.WriteString(w, state.load())
+	case socket.LivePath:
+		p.calls[1].Add(1)
+	case socket.JobPath:
+		p.calls[0].Add(1)
+		p.attempt(w, r, state)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+// load is the report of a replica that can run slots attempts at once.
+func (s *replicaState) load() string {
+	const slots = 16
+	running := s.running.Load()
+	return fmt.Sprintf("busy_reqs=%d,pending=0,x0=%.4f", running, min(1, float64(running)/slots))
+}
+
+// attempt answers one attempt: its first event after a drawn time, the others each after the gap.
+func (p *replicas) attempt(w http.ResponseWriter, r *http.Request, state *replicaState) {
+	state.running.Add(1)
+	defer state.running.Add(-1)
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, socket.MaxBody)); err != nil {
+		return
+	}
+	const spread = 0.5
+	wait := time.Duration(float64(p.spec.FirstEvent) * math.Exp(spread*rand.NormFloat64()))
+	flush := http.NewResponseController(w)
+	for n := range p.spec.Events {
+		if !pause(r.Context(), wait) {
+			return
+		}
+		if n == 0 {
+			w.Header().Set("Content-Type", "text/event-stream")
+			wait = p.spec.Gap
+		}
+		fmt.Fprintf(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word%d \"},\"finish_reason\":null}]}\n\n", n)
+		if flush.Flush() != nil {
+			return
+		}
+	}
+	fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":100,\"completion_tokens\":%d,\"prompt_tokens_details\":{\"cached_tokens\":0}}}\n\n"+
+		"data: [DONE]\n\n: Srv-Load: %s\n\n", p.spec.Events, state.load())
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Answer tells figures.
+func (p *replicas) Answer(_ context.Context, o Order) Answer {
+	if o.Do != OrderLook {
+		return Answer{Error: "replicas: unknown order " + o.Do}
+	}
+	a := Answer{At: time.Now(), Usage: usage(), Calls: Calls{Attempts: p.calls[0].Load(), Probes: p.calls[1].Load()}}
+	a.Calls.BytesIn, a.Calls.BytesOut = p.meter.in.Load(), p.meter.out.Load()
+	for _, s := range p.order {
+		a.Conns = append(a.Conns, int(s.conns.Load()))
+	}
+	return a
+}
+
+// Close ends all replicas.
+func (p *replicas) Close() { p.server.Close() }
+
+// connMeter counts the bytes of connections.
+type connMeter struct{ in, out atomic.Int64 }
+
+// countedListener accepts connections whose bytes are counted.
+type countedListener struct {
+	net.Listener
+	meter *connMeter
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, meter: l.meter}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	meter *connMeter
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/drill/scale/scale.go
@@ -0,0 +1,290 @@
+// Package scale measures what a gateway, a replica and discovery cost as a fleet grows. Replicas and
+// most gateways are hollow: thousands of replicas that do no work, and many gateways, in a few
+// processes. Hollow gateways run the program's own code, with their clients in the same process. A few
+// gateways are processes of their own, for hollow figures to be compared with.
+//
+// Everything is on loopback addresses, and each process is ended by its id.
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"time"
+
+	"archknot/internal/build"
+	"archknot/internal/conf"
+	"archknot/internal/wire/socket"
+)
+
+// Options are where a run finds its program and leaves its files.
+type Options struct {
+	Program  string // that roles and gateways are started from; "": this one
+	Progress func(done, of int, what string)
+}
+
+// Size is a fleet's.
+type Size struct {
+	Replicas int `json:"replicas"`
+	Gateways int `json:"gateways"` // hollow ones
+}
+
+// Point is what was measured at one size.
+type Point struct {
+	Size
+	Varied  string             `json:"varied"` // "replicas" or "gateways"
+	Repeat  int                `json:"repeat"`
+	Figures map[string]float64 `json:"figures"` // by name, as in Names
+}
+
+// Result is a whole run.
+type Result struct {
+	Build  string         `json:"build"`
+	Plan   *conf.ScaleRun `json:"plan"`
+	Points []Point        `json:"points"`
+	Slopes []Slope        `json:"slopes"`
+	Pairs  []Comparison   `json:"hollow_beside_real"`
+}
+
+// Steps are the sizes that a plan measures, in order.
+func Steps(p *conf.ScaleRun) (out []Point) {
+	for repeat := range p.Repeat {
+		for _, n := range p.Replicas {
+			out = append(out, Point{Size: Size{n, p.BaseGateways}, Varied: "replicas", Repeat: repeat})
+		}
+		for _, n := range p.Gateways {
+			out = append(out, Point{Size: Size{p.BaseReplicas, n}, Varied: "gateways", Repeat: repeat})
+		}
+	}
+	return out
+}
+
+// Run measures all sizes of a plan.
+func Run(ctx context.Context, p *conf.ScaleRun, o Options) (*Result, error) {
+	if o.Program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, err
+		}
+		o.Program = self
+	}
+	res := &Result{Build: build.Version(), Plan: p, Points: Steps(p)}
+	for i := range res.Points {
+		point := &res.Points[i]
+		if o.Progress != nil {
+			o.Progress(i, len(res.Points), fmt.Sprintf("%d replicas, %d gateways", point.Replicas, point.Gateways))
+		}
+		if err := measure(ctx, p, o.Program, point, uint64(p.Seed+i)); err != nil {
+			return nil, fmt.Errorf("%d replicas, %d gateways: %w", point.Replicas, point.Gateways, err)
+		}
+	}
+	res.Slopes = Slopes(res.Points)
+	res.Pairs = Compare(res.Points)
+	return res, nil
+}
+
+// measure plays one size from the first process's start to the last one's end.
+func measure(ctx context.Context, p *conf.ScaleRun, program string, point *Point, seed uint64) error {
+	limit := p.Settle + p.For + 3*time.Minute
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	dir, err := os.MkdirTemp("", "archknot-scale-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	f := &fleet{plan: p, program: program, dir: dir, size: point.Size, rng: rand.New(rand.NewPCG(seed, 7))}
+	defer f.close()
+	if err := f.start(ctx); err != nil {
+		return err
+	}
+	if err := f.wait(ctx, p.Settle); err != nil {
+		return err
+	}
+	before, err := f.look(ctx)
+	if err != nil {
+		return err
+	}
+	if err := f.run(ctx); err != nil {
+		return err
+	}
+	after, err := f.look(ctx)
+	if err != nil {
+		return err
+	}
+	point.Figures = figuresOf(before, after, point.Size)
+	inForce, err := f.timeToForce(ctx)
+	if err != nil {
+		return err
+	}
+	point.Figures[ChangeInForce] = inForce.Seconds() * 1000
+	return nil
+}
+
+// fleet is the processes of one size.
+type fleet struct {
+	plan      *conf.ScaleRun
+	program   string
+	dir       string
+	size      Size
+	rng       *rand.Rand
+	replicas  []*role
+	discovery *role
+	hollow    []*role
+	real      *processes
+	instances []socket.Instance
+	client    *driver // of the real gateways
+}
+
+// perProcess and gatewaysPerProcess are how many hollow replicas and gateways one process has:
+// within the usual limit on descriptors, with a listener and connections for each.
+const (
+	perProcess         = 2500
+	gatewaysPerProcess = 25
+)
+
+func (f *fleet) start(ctx context.Context) error {
+	for first := 0; first < f.size.Replicas; first += perProcess {
+		spec := ReplicasSpec{First: first, Count: min(perProcess, f.size.Replicas-first), Zones: f.plan.Zones, Seed: f.rng.Uint64(),
+			FirstEvent: f.plan.First, Events: f.plan.Events, Gap: f.plan.Gap}
+		r, err := startRole(ctx, f.program, RoleReplicas, spec)
+		if err != nil {
+			return err
+		}
+		f.replicas = append(f.replicas, r)
+		f.instances = append(f.instances, r.hello.Instances...)
+	}
+	var err error
+	if f.discovery, err = startRole(ctx, f.program, RoleDiscovery, DiscoverySpec{Instances: f.instances, Framing: f.plan.Framing}); err != nil {
+		return err
+	}
+	gateways := GatewaysSpec{First: f.size.Gateways, Of: max(f.plan.Of, f.size.Gateways+f.plan.Processes), Discovery: f.discovery.hello.Address, Zones: f.plan.Zones,
+		Subset: f.plan.Subset, Probe: f.plan.Probe, Rate: f.plan.Rate, Seed: f.rng.Uint64()}
+	if f.real, err = startProcesses(f.program, f.dir, gateways, f.plan.Processes); err != nil {
+		return err
+	}
+	for first := 0; first < f.size.Gateways; first += gatewaysPerProcess {
+		gateways.First, gateways.Count = first, min(gatewaysPerProcess, f.size.Gateways-first)
+		r, err := startRole(ctx, f.program, RoleGateways, gateways)
+		if err != nil {
+			return err
+		}
+		f.hollow = append(f.hollow, r)
+	}
+	if err := f.real.ready(ctx); err != nil {
+		return err
+	}
+	f.client = newDriver(f.plan.Rate, f.rng.Uint64())
+	for _, g := range f.real.list {
+		f.client.drive(g.address, nil)
+	}
+	return nil
+}
+
+func (f *fleet) close() {
+	if f.client != nil {
+		f.client.close()
+	}
+	for _, r := range f.roles() {
+		r.close()
+	}
+	f.real.close()
+}
+
+// roles are all processes but the real gateways.
+func (f *fleet) roles() []*role {
+	out := slices.Concat(f.hollow, f.replicas)
+	if f.discovery != nil {
+		out = append(out, f.discovery)
+	}
+	return out
+}
+
+// wait lets time pass, and looks after the memory that the processes take.
+func (f *fleet) wait(ctx context.Context, d time.Duration) error {
+	const each = 500 * time.Millisecond
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		select {
+		case <-time.After(min(each, time.Until(end))):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if mb := f.memory(); mb > float64(f.plan.MemoryMB) {
+			return fmt.Errorf("all processes take %.0f MB, scale.memory allows %d", mb, f.plan.MemoryMB)
+		}
+	}
+	return nil
+}
+
+// memory is what all processes take; megabytes.
+func (f *fleet) memory() float64 {
+	sum := residentMB(os.Getpid())
+	for _, r := range f.roles() {
+		sum += residentMB(r.pid())
+	}
+	for _, g := range f.real.list {
+		sum += residentMB(g.cmd.Process.Pid)
+	}
+	return sum
+}
+
+// run lets the measured time pass, with changes of the list.
+func (f *fleet) run(ctx context.Context) error {
+	for end := time.Now().Add(f.plan.For); ; {
+		if err := f.wait(ctx, min(f.plan.Changes, time.Until(end))); err != nil {
+			return err
+		}
+		if !time.Now().Before(end) {
+			return nil
+		}
+		if _, err := f.discovery.ask(ctx, Order{Do: OrderChange}); err != nil {
+			return err
+		}
+	}
+}
+
+// changesTimed is how many changes of the list are followed until they are in force everywhere, and
+// inForceWithin how long each is waited for.
+const (
+	changesTimed  = 3
+	inForceWithin = 6 * time.Second
+)
+
+// timeToForce is the mean time from a change of the list until the last gateway has it.
+func (f *fleet) timeToForce(ctx context.Context) (time.Duration, error) {
+	sum := time.Duration(0)
+	for range changesTimed {
+		answer, err := f.discovery.ask(ctx, Order{Do: OrderChange})
+		if err != nil {
+			return 0, err
+		}
+		last, err := f.lastInForce(ctx, answer.Version, answer.At)
+		if err != nil {
+			return 0, err
+		}
+		sum += last.Sub(answer.At)
+	}
+	return sum / changesTimed, nil
+}
+
+// errBehind says that some gateway has not followed a change.
+var errBehind = errors.New("a change was not in force at all gateways in time")
+
+func (f *fleet) lastInForce(ctx context.Context, version int64, since time.Time) (last time.Time, err error) {
+	for time.Since(since) < inForceWithin {
+		if err := f.wait(ctx, 200*time.Millisecond); err != nil {
+			return last, err
+		}
+		now, err := f.look(ctx)
+		if err != nil {
+			return last, err
+		}
+		if now.oldest >= version {
+			return now.inForce, nil
+		}
+	}
+	return last, errBehind
+}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"archknot/choice"
+	"archknot/internal/conf"
 	"archknot/internal/gateway"
 	"archknot/internal/wire"
 	"archknot/internal/wire/socket"
@@ -105,6 +106,22 @@
 	return c, placed(f.path, f.text, err)
 }
 
+// GatewayOptions are what a gateway is built with by a platform's configuration and our own settings,
+// for one that runs beside others in a process.
+func GatewayOptions(platform []byte, own *conf.Config) (gateway.Options, error) {
+	var f file
+	if err := json.Unmarshal(platform, &f); err != nil {
+		return gateway.Options{}, jsonError(err)
+	}
+	c, err := f.check()
+	if err != nil {
+		return gateway.Options{}, err
+	}
+	c.Gateway.Contracts = contracts(own)
+	c.Gateway.Subset = part(own.Subset, &c.Gateway.Settings)
+	return c.Gateway, nil
+}
+
 // handed reads NODE_SOCKET_FD: the number of a descriptor above those of the
 // standard streams, or nothing.
 func handed(value string) (int, error) {
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -362,6 +362,7 @@
 	}
 	s.control, err = control.Listen(s.conf.Control.Socket, map[string]control.Handler{"capture/save": s.save,
 		"config/status": s.status, "config/history": s.history, "config/rollback": s.rollback,
+		"figures":            func(ctx context.Context, _ json.RawMessage) (any, error) { return s.g.Control(ctx) },
 		"contracts/accounts": func(ctx context.Context, _ json.RawMessage) (any, error) { return s.g.Accounts(ctx) }})
 	return err
 }
--- a/internal/memory/registry.go
+++ b/internal/memory/registry.go
@@ -44,6 +44,8 @@
 	version int64
 	workers map[string]*Worker // by instanceId
 	byID    map[choice.ReplicaID]*Worker
+	ready   int // workers that take work
+	salted  int // workers whose number is not their name's first hash
 }
 
 // NewRegistry returns an empty registry.
@@ -61,15 +63,7 @@
 func (r *Registry) Version() int64 { return r.version }
 
 // Ready counts the workers that take work.
-func (r *Registry) Ready() int {
-	n := 0
-	for _, w := range r.workers {
-		if w.State() == choice.MemberReady {
-			n++
-		}
-	}
-	return n
-}
+func (r *Registry) Ready() int { return r.ready }
 
 // Apply enters a list and returns the module's form of it, and the keys that
 // workers have left behind, by their end or a restart. sinceOf converts a
@@ -78,6 +72,9 @@
 func (r *Registry) Apply(l socket.List, kind choice.ListKind, sinceOf func(int64) choice.Micros) (choice.ServerList, []string) {
 	out := choice.ServerList{Kind: kind, Version: l.Generation}
 	r.version = l.Generation
+	if kind == choice.ListDelta && r.plain(l) {
+		return r.change(l, out, sinceOf)
+	}
 	old := r.workers
 	next := map[string]*Worker{}
 	if kind == choice.ListDelta {
@@ -87,17 +84,7 @@
 	}
 	changed, left := map[string]*Worker{}, []string{}
 	for _, in := range l.Instances {
-		w := &Worker{Instance: in}
-		was := old[in.ID]
-		switch {
-		case was != nil && was.StartedAtMs == in.StartedAtMs:
-			w.Since, w.out = was.Since, was.out
-		case in.StartedAtMs > 0:
-			w.Since = sinceOf(in.StartedAtMs)
-		}
-		if w.out == nil {
-			w.out = new(int)
-		}
+		w := newWorker(in, old[in.ID], sinceOf)
 		changed[in.ID] = w
 		if w.State() == choice.MemberGone {
 			delete(next, in.ID)
@@ -122,13 +109,100 @@
 			}
 			w.ID = old[id].ID
 		}
-		out.Members = append(out.Members, choice.Member{Replica: w.ID, State: w.State(), Weight: w.Weight,
-			Cell: w.Cell, Kind: w.Kind, Zone: w.Zone, Since: w.Since})
+		out.Members = append(out.Members, w.member())
 	}
-	slices.SortFunc(out.Members, func(a, b choice.Member) int { return int(int64(a.Replica) - int64(b.Replica)) })
+	sortMembers(out.Members)
 	return out, left
 }
 
+// newWorker is a worker as a list names it, with what is known of it from before.
+func newWorker(in socket.Instance, was *Worker, sinceOf func(int64) choice.Micros) *Worker {
+	w := &Worker{Instance: in}
+	switch {
+	case was != nil && was.StartedAtMs == in.StartedAtMs:
+		w.Since, w.out = was.Since, was.out
+	case in.StartedAtMs > 0:
+		w.Since = sinceOf(in.StartedAtMs)
+	}
+	if w.out == nil {
+		w.out = new(int)
+	}
+	return w
+}
+
+// member is the module's form of the worker.
+func (w *Worker) member() choice.Member {
+	return choice.Member{Replica: w.ID, State: w.State(), Weight: w.Weight, Cell: w.Cell, Kind: w.Kind, Zone: w.Zone, Since: w.Since}
+}
+
+func sortMembers(list []choice.Member) {
+	slices.SortFunc(list, func(a, b choice.Member) int { return int(int64(a.Replica) - int64(b.Replica)) })
+}
+
+// plain tells whether changes can be entered one by one: no two names share a number, before or after.
+func (r *Registry) plain(l socket.List) bool {
+	if r.salted > 0 {
+		return false
+	}
+	names := make(map[choice.ReplicaID]string, len(l.Instances))
+	for _, in := range l.Instances {
+		id := replicaID(in.ID, 0)
+		if w := r.byID[id]; w != nil && w.Instance.ID != in.ID {
+			return false
+		}
+		if name, ok := names[id]; ok && name != in.ID {
+			return false
+		}
+		names[id] = in.ID
+	}
+	return true
+}
+
+// change enters changes one by one: what it takes follows the changes and not the list.
+func (r *Registry) change(l socket.List, out choice.ServerList, sinceOf func(int64) choice.Micros) (choice.ServerList, []string) {
+	before := map[string]*Worker{} // as they were, of those that change
+	after := map[string]*Worker{}
+	for _, in := range l.Instances {
+		was := r.workers[in.ID]
+		if _, seen := before[in.ID]; !seen {
+			before[in.ID] = was
+		}
+		w := newWorker(in, was, sinceOf)
+		w.ID = replicaID(in.ID, 0)
+		after[in.ID] = w
+		r.put(was, w)
+	}
+	var left []string
+	for name, was := range before {
+		now := r.workers[name]
+		if was != nil && (now == nil || now.Key() != was.Key()) {
+			left = append(left, was.Key())
+		}
+		if now != nil || was != nil {
+			out.Members = append(out.Members, after[name].member())
+		}
+	}
+	sortMembers(out.Members)
+	return out, left
+}
+
+// put has a worker take the place of what was there under its name.
+func (r *Registry) put(was, w *Worker) {
+	if was != nil && was.State() == choice.MemberReady {
+		r.ready--
+	}
+	if w.State() == choice.MemberGone {
+		delete(r.workers, w.Instance.ID)
+		delete(r.byID, w.ID)
+		return
+	}
+	if w.State() == choice.MemberReady {
+		r.ready++
+	}
+	r.workers[w.Instance.ID] = w
+	r.byID[w.ID] = w
+}
+
 // number gives each worker the module's number for it. The module ranks homes
 // by these, so every gateway must come to the same ones whatever the order in
 // which it heard of the workers: a hash of the name, and where two names share
@@ -141,6 +215,7 @@
 	}
 	slices.Sort(names)
 	clear(r.byID)
+	r.ready, r.salted = 0, 0
 	moved := false
 	for _, name := range names {
 		id := replicaID(name, 0)
@@ -151,6 +226,12 @@
 		moved = moved || old[name] != nil && old[name].ID != id
 		w.ID = id
 		r.byID[id] = w
+		if w.State() == choice.MemberReady {
+			r.ready++
+		}
+		if id != replicaID(name, 0) {
+			r.salted++
+		}
 	}
 	return moved
 }
--- /dev/null
+++ b/internal/subset/bench_test.go
@@ -0,0 +1,40 @@
+package subset
+
+import (
+	"fmt"
+	"testing"
+
+	"archknot/choice"
+)
+
+// BenchmarkChange is the cost of one replica's change of state, over the size of the fleet.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{1000, 3000, 6000, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			members := zoned(0, even(18, n/18)...)
+			v := NewView(bound(128, 7, "z7"), noFigures{})
+			v.Apply(second, full(members))
+			for i := range b.N {
+				m := members[i/2%len(members)]
+				if i%2 == 0 {
+					m.State = choice.MemberDraining
+				}
+				v.Apply(2*second, choice.ServerList{Kind: choice.ListDelta, Members: []choice.Member{m}})
+			}
+		})
+	}
+}
+
+// BenchmarkHome is the cost of finding a request's home, over the size of the fleet.
+func BenchmarkHome(b *testing.B) {
+	for _, n := range []int{1000, 6000, 12000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v := NewView(bound(128, 7, "z0"), noFigures{})
+			v.Apply(second, full(zoned(0, n)))
+			for i := range b.N {
+				in := choice.Request{Session: uint64(i) + 1, Prefix: uint64(i%5000) + 1}
+				v.Home(20*second, &in)
+			}
+		})
+	}
+}
--- a/internal/subset/homes.go
+++ b/internal/subset/homes.go
@@ -70,7 +70,7 @@
 	case in.Session == 0:
 		rank = prefix
 	}
-	p := v.pools[homeZone(v.zones, hash(key))]
+	p := v.pool(homeZone(v.zones, hash(key)))
 	if p == nil {
 		return nil
 	}
@@ -81,25 +81,26 @@
 	if in.Prefix != 0 {
 		threshold = float64(keep) / float64(len(part))
 	}
-	least := math.Inf(1)
+	var nearest *replica // where none keeps the prefix
+	least, near := math.Inf(1), math.Inf(1)
 	for _, r := range part {
 		if now < r.Since+v.s.ColdFor {
 			continue
 		}
-		score := -math.Log(unit(hash(rank^r.hash))+1e-18) / r.size(v.s.Weighted)
-		if distance := unit(hash(prefix ^ r.hash)); distance >= threshold {
-			score += farHome * (1 + distance) // only where there are no nearer ones
+		distance := unit(hash(prefix ^ r.hash))
+		if distance < near {
+			nearest, near = r, distance
 		}
-		if score < least {
+		if distance >= threshold {
+			continue
+		}
+		if score := -math.Log(unit(hash(rank^r.hash))+1e-18) / r.size(v.s.Weighted); score < least {
 			best, least = r, score
 		}
 	}
-	return best
+	return cmp.Or(best, nearest)
 }
 
-// farHome puts replicas that do not keep a prefix behind all that do.
-const farHome = 1e6
-
 // homeZone draws the zone of a key's home: the gateway's own, but for what it has no replicas for.
 func homeZone(zones *zoneTable, key uint64) string {
 	draw := unit(key)
--- a/internal/subset/view.go
+++ b/internal/subset/view.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"archknot/choice"
@@ -10,7 +11,6 @@
 
 // Figures is what a view has to know of the decision module that it stands before.
 type Figures interface {
-	Open(id choice.ReplicaID) int              // attempts out at a replica
 	PrefixShare(prefix uint64) (share float64) // of the requests seen so far
 }
 
@@ -23,9 +23,10 @@
 	fleet   map[choice.ReplicaID]*replica
 	sorted  []*replica // by id
 	zones   *zoneTable
-	pools   map[string]*pool
-	active  bool // the module is told a part
-	heard   bool // a list has come
+	pools   map[string]*pool // by zone; made when they are asked for
+	regroup bool             // replicas have come or gone since sorted was made
+	active  bool             // the module is told a part
+	heard   bool             // a list has come
 	told    map[choice.ReplicaID]choice.Member
 	guests  map[choice.ReplicaID]uint64 // homes outside of the subset, by when they were last wanted
 	clock   uint64
@@ -45,7 +46,7 @@
 // NewView returns a view that has heard of no list.
 func NewView(s Settings, figures Figures) *View {
 	return &View{s: s, figures: figures, fleet: map[choice.ReplicaID]*replica{}, told: map[choice.ReplicaID]choice.Member{},
-		guests: map[choice.ReplicaID]uint64{}}
+		pools: map[string]*pool{}, guests: map[choice.ReplicaID]uint64{}}
 }
 
 // Stats tells the view's figures.
@@ -79,59 +80,99 @@
 
 // enter takes the list over.
 func (v *View) enter(now choice.Micros, list *choice.ServerList) {
-	listed := make(map[choice.ReplicaID]bool, len(list.Members))
+	listed := map[choice.ReplicaID]bool{}
 	for _, m := range list.Members {
-		listed[m.Replica] = true
+		if list.Kind.Whole() {
+			listed[m.Replica] = true
+		}
 		if m.State == choice.MemberGone {
-			delete(v.fleet, m.Replica)
+			v.remove(m.Replica)
 			continue
 		}
-		was := v.fleet[m.Replica]
-		if m.Since == 0 { // not told: long ago, unless it has come since the first list
-			switch {
-			case was != nil:
-				m.Since = was.Since
-			case v.heard:
-				m.Since = now
-			default:
-				m.Since = longAgo
+		v.put(now, m)
+	}
+	if list.Kind.Whole() {
+		for id := range v.fleet {
+			if !listed[id] {
+				v.remove(id)
 			}
 		}
-		if was != nil {
-			was.Member = m
-			continue
+	}
+	v.heard = true
+}
+
+func (v *View) put(now choice.Micros, m choice.Member) {
+	was := v.fleet[m.Replica]
+	if m.Since == 0 { // not told: long ago, unless it has come since the first list
+		switch {
+		case was != nil:
+			m.Since = was.Since
+		case v.heard:
+			m.Since = now
+		default:
+			m.Since = longAgo
 		}
+	}
+	if was == nil {
 		v.fleet[m.Replica] = newReplica(m)
+		v.regroup = true
+		return
 	}
-	if list.Kind.Whole() {
-		maps.DeleteFunc(v.fleet, func(id choice.ReplicaID, _ *replica) bool { return !listed[id] })
+	if was.State != m.State || was.Zone != m.Zone {
+		v.stale(was.Zone)
+		v.stale(m.Zone)
+	}
+	was.Member = m
+}
+
+func (v *View) remove(id choice.ReplicaID) {
+	if v.fleet[id] != nil {
+		delete(v.fleet, id)
+		v.regroup = true
 	}
-	v.heard = true
 }
 
+// stale has a zone's pool made anew.
+func (v *View) stale(zone string) { delete(v.pools, zone) }
+
 // longAgo is the start of a replica that was up before this gateway was. It is not 0, which the
 // module would take for no word of a start and hence for a start just now.
 const longAgo choice.Micros = 1
 
-// index renews what is worked out from the whole list.
+// index renews what is worked out from the whole list: all of it where replicas have come or gone,
+// else only what has changed.
 func (v *View) index() {
-	v.sorted = slices.AppendSeq(v.sorted[:0], maps.Values(v.fleet))
-	slices.SortFunc(v.sorted, func(a, b *replica) int { return cmp.Compare(a.Replica, b.Replica) })
+	if v.regroup {
+		v.sorted = slices.AppendSeq(v.sorted[:0], maps.Values(v.fleet))
+		slices.SortFunc(v.sorted, func(a, b *replica) int { return cmp.Compare(a.Replica, b.Replica) })
+		clear(v.pools)
+		v.regroup = false
+	}
 	v.stats.Listed, v.stats.Ready = len(v.sorted), 0
-	byZone := map[string][]*replica{}
 	for _, r := range v.sorted {
 		if r.State == choice.MemberReady {
 			v.stats.Ready++
-			byZone[r.Zone] = append(byZone[r.Zone], r)
 		}
 	}
-	v.pools = map[string]*pool{}
-	if !v.active {
-		return
+}
+
+// pool is the pool of a zone, nil if nothing in it takes work.
+func (v *View) pool(zone string) *pool {
+	if p, ok := v.pools[zone]; ok {
+		return p
 	}
-	for name, replicas := range byZone {
-		v.pools[name] = newPool(replicas)
+	var ready []*replica
+	for _, r := range v.sorted {
+		if r.Zone == zone && r.State == choice.MemberReady {
+			ready = append(ready, r)
+		}
 	}
+	var p *pool
+	if len(ready) > 0 {
+		p = newPool(ready)
+	}
+	v.pools[zone] = p
+	return p
 }
 
 // part makes the module's list of one that is longer than the bound.
@@ -206,9 +247,7 @@
 		return list, false
 	}
 	v.clock++
-	if !v.invite(home, &list) {
-		return list, false
-	}
+	v.invite(home, &list)
 	in.Home = home.Replica
 	list.Kind, list.Fleet = choice.ListOwn, v.stats.Ready
 	sortMembers(list.Members)
@@ -216,47 +255,39 @@
 }
 
 // invite makes sure that the module is told of a replica, and enters what has to be told for it in
-// the list. It fails where there is no room for a further one.
-func (v *View) invite(r *replica, list *choice.ServerList) bool {
+// the list.
+func (v *View) invite(r *replica, list *choice.ServerList) {
 	_, told := v.told[r.Replica]
 	_, guest := v.guests[r.Replica]
 	if told && !guest {
-		return true
+		return
 	}
 	if !guest {
-		if len(v.guests) >= v.guestsMost() && !v.makeRoom(list) {
-			return false
+		if len(v.guests) >= v.guestsMost() {
+			v.dismiss(list)
 		}
 		list.Members = append(list.Members, r.Member)
 		v.told[r.Replica] = r.Member
 	}
 	v.guests[r.Replica] = v.clock
 	v.stats.Guests = len(v.guests)
-	return true
 }
 
 // guestsMost is how many homes outside of the subset the module is told at once.
 func (v *View) guestsMost() int { return max(1, v.s.Most/2) }
 
-// makeRoom takes the guest that was not wanted for longest back, of those at which nothing is out.
-func (v *View) makeRoom(list *choice.ServerList) bool {
+// dismiss takes the guest that was not wanted for longest back. What is out there goes on.
+func (v *View) dismiss(list *choice.ServerList) {
 	var oldest choice.ReplicaID
-	found := false
+	least := uint64(math.MaxUint64)
 	for id, at := range v.guests {
-		if v.figures.Open(id) > 0 {
-			continue
-		}
-		if !found || at < v.guests[oldest] || at == v.guests[oldest] && id < oldest {
-			oldest, found = id, true
+		if at < least {
+			oldest, least = id, at
 		}
 	}
-	if !found {
-		return false
-	}
 	member := v.told[oldest]
 	member.State = choice.MemberGone
 	list.Members = append(list.Members, member)
 	delete(v.guests, oldest)
 	delete(v.told, oldest)
-	return true
 }
--- a/internal/subset/zones.go
+++ b/internal/subset/zones.go
@@ -31,17 +31,17 @@
 // that a part, Remote, is drawn from all alike: what a gateway goes on with if its zone is lost.
 func (s *Settings) zones(fleet []*replica) *zoneTable {
 	t := &zoneTable{byName: map[string]*zone{}}
+	var last *zone // zones often come in runs
 	for _, r := range fleet {
 		if r.State != choice.MemberReady {
 			continue
 		}
-		z := t.byName[r.Zone]
-		if z == nil {
-			z = s.newZone(r.Zone)
-			t.byName[r.Zone] = z
-			t.sorted = append(t.sorted, z)
+		if last == nil || last.name != r.Zone {
+			last = t.zone(s, r.Zone)
 		}
-		z.ready++
+		last.ready++
+		last.weight += r.size(s.Weighted)
+		r.zone = last
 		t.ready++
 	}
 	slices.SortFunc(t.sorted, func(a, b *zone) int {
@@ -50,11 +50,26 @@
 		}
 		return 1
 	})
-	t.weigh(fleet, s.Weighted)
+	for _, r := range fleet { // what drains stays where it was, if its zone is there
+		if r.State != choice.MemberReady {
+			r.zone = t.byName[r.Zone]
+		}
+	}
 	t.divide(s)
 	return t
 }
 
+// zone is the zone of a name, made if it is not there.
+func (t *zoneTable) zone(s *Settings, name string) *zone {
+	z := t.byName[name]
+	if z == nil {
+		z = s.newZone(name)
+		t.byName[name] = z
+		t.sorted = append(t.sorted, z)
+	}
+	return z
+}
+
 func (s *Settings) newZone(name string) *zone {
 	z := &zone{name: name}
 	for ring := range z.starts {
@@ -63,16 +78,6 @@
 	return z
 }
 
-// weigh sums the weights up, in an order that is the same for all gateways.
-func (t *zoneTable) weigh(fleet []*replica, weighted bool) {
-	for _, r := range fleet {
-		r.zone = t.byName[r.Zone]
-		if r.State == choice.MemberReady {
-			r.zone.weight += r.size(weighted)
-		}
-	}
-}
-
 // leastRemote keeps every zone in reach: the windows of a zone without a share could not be widened.
 const leastRemote = 0.01
 
