Cold offers by the gateway's number; subsets for few gateways; waiting requests cost no scans; files split

Subsets are as large as 16 gateways a replica need (leastSharers), up to the whole list. - A gateway with 3,000 replicas in one list fell ever further behind under load (34,278 goroutines, 16,105 of them probes at the full queue of a loop that scanned): each answer to a probe had every waiting request weighed anew (choice.go, resume). Tests of the operators' terms that had none of their own (terms_test.go): the time that further attempts are told (fails where the whole time is told again: 2 s for 1.6 s), and one answer for each request whatever replicas and other clients do (fails without the deadline's and the last attempt's end).

--- a/choice/ask.go
+++ b/choice/ask.go
@@ -47,8 +47,7 @@
 // has just come, and tells whether r is to wait for answers that are out.
 func (b *Balancer) inquire(now Micros, r *request) (wait bool) {
 	if !b.asking {
-		return b.sparse() && len(r.attempts) == 0 && now > r.arrived && now < r.arrived+askWait &&
-			slices.ContainsFunc(b.rows, func(w *row) bool { return w.probing && w.probed == r.arrived })
+		return b.awaits(now, r)
 	}
 	left, drawn := b.asks()
 	if drawn {
@@ -67,17 +66,22 @@
 	return wait
 }
 
+// awaits tells whether r waits for an answer that it asked for.
+func (b *Balancer) awaits(now Micros, r *request) bool {
+	return b.sparse() && len(r.attempts) == 0 && now > r.arrived && now < r.arrived+askWait &&
+		slices.ContainsFunc(b.rows, func(w *row) bool { return w.probing && w.probed == r.arrived })
+}
+
 // asks is how many replicas a request may ask for reports, and whether one of them is drawn by
 // chance: all of the short list, one of them drawn. Where lists name a part of the fleet, a gateway
-// hears of that part by its own requests, and asks the less for it.
+// hears of that part by its own requests, and asks the less the more it hears.
 func (b *Balancer) asks() (most int, drawn bool) {
 	if b.fleet <= b.ready {
 		return shortList, true
 	}
 	const drawnOf = 0.25
-	most = 2
-	if b.sendRate*b.lifetime/1e6 >= float64(b.ready)/4 {
-		most = 1
+	if b.sendRate*b.lifetime/1e6 < float64(b.ready)/4 {
+		return 2, true
 	}
-	return most, b.offered != nil || b.random() < drawnOf
+	return 1, b.offered != nil || b.random() < drawnOf
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -160,7 +160,11 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		b.dispatch(now, b.requests[id])
+		// One that goes on waiting is not weighed anew: with many of them each answer would cost
+		// as many scans, and an overloaded gateway fell ever further behind.
+		if r := b.requests[id]; !b.awaits(now, r) {
+			b.dispatch(now, r)
+		}
 	}
 }
 
--- a/choice/guard.go
+++ b/choice/guard.go
@@ -62,9 +62,11 @@
 		return nil
 	}
 	heavy := math.Max(1, b.work(r)/math.Max(1, b.meanWork))
-	draw := b.random()
+	// Gateways may be given the same seed: by its number each draws otherwise.
+	drawn := mix(math.Float64bits(b.random()) ^ mix(uint64(b.s.Self)))
+	draw := unit(drawn)
 	n := len(b.rows)
-	for i, start := 0, int(b.random()*float64(n)); i < n; i++ { // chances may be over 1 in all: from any on
+	for i, start := 0, int(unit(mix(drawn))*float64(n)); i < n; i++ { // chances may be over 1 in all: from any on
 		w := b.rows[(start+i)%n]
 		if w.state != MemberReady || now >= w.coldUntil {
 			continue
--- /dev/null
+++ b/internal/fleet/model/gateway.go
@@ -0,0 +1,471 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"path/filepath"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/capture"
+	"archknot/internal/contract"
+	"archknot/internal/subset"
+)
+
+// Gateways: the decision module with the gateway's part of the fleet before it, its timers and calls.
+
+type gateway struct {
+	x        *sim
+	no       int
+	zone     string
+	b        *choice.Balancer
+	m        capture.Module
+	view     *subset.View
+	book     *contract.Book
+	books    capture.Books
+	rec      *capture.Recorder
+	writer   *capture.Writer
+	requests map[choice.RequestID]*request
+	next     choice.RequestID
+	seen     int64 // the registry's version that it has
+	waiting  bool  // a watch is out
+	watch    int   // counts them
+	timers   capture.Timers
+	rng      *rand.Rand
+	dead     bool // killed: what comes for it is nobody's
+	lives    int
+}
+
+// askLimit is how long a call may wait for its turn at the registry.
+const askLimit choice.Micros = 2_000_000
+
+// request is one at a gateway.
+type request struct {
+	in       choice.Request
+	traffic  *traffic
+	session  *Session
+	tried    int // by the client, before
+	sentAt   choice.Micros
+	deadline choice.Micros
+	out      int
+	attempts []*attempt
+	bound    *attempt
+	done     bool
+	firstAt  choice.Micros
+	charge   contract.Charge
+	charges  map[int]*contract.Charge
+	thought  contract.Use
+	over     bool
+	counted  bool
+	wasted   int // attempts that may have run and served nobody
+}
+
+// kill ends a gateway at once, with all that it has in hand, and has it come back with
+// the list that it had.
+func (g *gateway) kill(after choice.Micros) {
+	x := g.x
+	if g.dead || x.s.Capture != "" { // a recording has one life
+		return
+	}
+	g.dead = true
+	for _, id := range sorted(g.requests) {
+		r := g.requests[id]
+		for _, a := range r.attempts {
+			if !a.over {
+				a.over = true
+				a.cancel()
+			}
+		}
+		if !r.done {
+			r.done = true
+			x.ends(x.e.Now(), r, "broken", 0)
+		}
+	}
+	x.e.After(max(1, after), func(choice.Micros) {
+		next, err := x.newGateway(g.no, x.zones, x.kinds)
+		if err != nil {
+			panic(err) // the same settings were good before
+		}
+		next.lives, next.seen = g.lives+1, g.seen
+		x.gateways[g.no] = next
+		next.start()
+	})
+}
+
+func (x *sim) newGateway(i int, zones, kinds []string) (*gateway, error) {
+	s := x.s.Settings
+	s.Self, s.Gateways, s.Zones, s.Kinds = i, x.s.Gateways, zones, kinds
+	s.Zone = zones[i%len(zones)]
+	g := &gateway{x: x, no: i, zone: s.Zone, requests: map[choice.RequestID]*request{}, next: 1, timers: capture.Timers{}, rng: x.e.Rand(fmt.Sprint("gateway", i))}
+	seed := g.rng.Uint64()
+	var err error
+	if g.b, err = choice.New(s, seed, g); err != nil {
+		return nil, err
+	}
+	g.m = g.b
+	g.view = subset.NewView(subset.Settings{Most: x.s.Subset, Index: i, Gateways: x.s.Gateways, Zone: s.Zone, Remote: subset.DefaultRemote,
+		Weighted: s.Weights == choice.WeightNominal, ColdFor: s.ColdFor}, g.b)
+	if len(x.s.Contracts) > 0 {
+		if g.book, err = contract.New(x.s.Book, x.s.Contracts, start, start); err != nil {
+			return nil, err
+		}
+		parts := make([]float64, len(x.s.Contracts))
+		for i := range parts {
+			parts[i] = 1 / float64(x.s.Gateways)
+		}
+		g.book.SetParts(start, parts)
+		g.books = capture.Plain{Book: g.book}
+	}
+	if x.s.Capture != "" {
+		name := fmt.Sprintf("gateway%d", i)
+		if g.writer, err = capture.NewWriter(capture.Limits{Directory: filepath.Join(x.s.Capture, name), Gateway: name, Build: "model", Seed: seed, Queue: 8,
+			Wait: true, KeepSize: math.MaxInt64, KeepAge: math.MaxInt64}); err != nil {
+			return nil, err
+		}
+		g.rec = capture.Record(start, g.b, g.book, g, g.writer, capture.Host{Timers: g.timers.Pending, Charges: g.open},
+			capture.Options{Checkpoint: 15 * time.Second, Block: 64 << 10, Flush: time.Minute, SegmentSize: 64 << 20, SegmentAge: time.Hour})
+		g.m = g.rec
+		if g.book != nil {
+			g.books = g.rec
+		}
+	}
+	return g, nil
+}
+
+func (g *gateway) close() error {
+	if g.rec != nil {
+		g.rec.Close()
+		g.writer.Close()
+	}
+	return nil
+}
+
+func (g *gateway) start() {
+	now := g.x.e.Now()
+	g.m.Start(now)
+	list := choice.ServerList{Kind: choice.ListFull, Version: g.x.version}
+	for _, h := range g.x.workers {
+		list.Members = append(list.Members, g.x.member(h))
+	}
+	if !g.waiting { // its turn at the registry has not come
+		list.Kind = choice.ListSaved
+	}
+	if g.lives == 0 {
+		g.seen = g.x.version
+	} else { // what has changed since it does not know
+		for _, c := range g.x.changed {
+			if c.version > g.seen {
+				list.Members[c.member.Replica-1].State = choice.MemberReady
+				list.Members[c.member.Replica-1].Since = 0
+			}
+		}
+	}
+	g.m.ListChanged(now, g.view.Apply(now, list))
+}
+
+// changed answers a watch that is out.
+func (g *gateway) changed() {
+	if g.waiting && !g.x.deaf && g.seen < g.x.version {
+		g.waiting = false
+		g.x.e.After(2*g.x.s.Near, func(now choice.Micros) { g.answer(now) })
+	}
+}
+
+func (g *gateway) answer(now choice.Micros) {
+	if g.dead {
+		return
+	}
+	l := choice.ServerList{Kind: choice.ListDelta, Version: g.x.version}
+	for _, c := range g.x.changed {
+		if c.version > g.seen {
+			l.Members = append(l.Members, c.member)
+		}
+	}
+	g.seen = g.x.version
+	g.m.ListChanged(now, g.view.Apply(now, l))
+	g.waiting = true // the gateway's watch goes on by itself
+	g.watched()
+}
+
+// WatchRegistry: choice.Sink.
+func (g *gateway) WatchRegistry() {
+	if g.waiting {
+		return
+	}
+	g.waiting = true
+	if each := g.x.s.AskEach; each > 0 {
+		// Calls are answered in turn; it works for those too that it then fails.
+		now := g.x.e.Now()
+		g.x.askFree = max(g.x.askFree, now) + each
+		if g.x.askFree > now+askLimit {
+			g.x.res.AsksFailed++
+			g.x.e.After(askLimit, func(now choice.Micros) {
+				if g.waiting = false; !g.dead {
+					g.m.ListChanged(now, choice.ServerList{Kind: choice.ListFailed})
+				}
+			})
+			return
+		}
+		g.x.e.At(g.x.askFree, func(choice.Micros) { g.watched() })
+		return
+	}
+	g.watched()
+}
+
+// watched is a watch that has begun.
+func (g *gateway) watched() {
+	g.watch++
+	watch := g.watch
+	g.x.e.After(0, func(choice.Micros) { g.changed() })
+	g.x.e.After(g.x.s.PollWait, func(now choice.Micros) {
+		if !g.waiting || g.watch != watch {
+			return
+		}
+		g.waiting = false
+		if g.x.deaf && !g.dead {
+			g.m.ListChanged(now, choice.ServerList{Kind: choice.ListFailed})
+			return
+		}
+		g.answer(now)
+	})
+}
+
+func (g *gateway) open() (out []contract.Open) {
+	for id, r := range g.requests {
+		if r.charge.Open() {
+			out = append(out, contract.Open{Key: capture.ChargeKey(id, 0), Charge: &r.charge})
+		}
+		for n, c := range r.charges {
+			if c.Open() {
+				out = append(out, contract.Open{Key: capture.ChargeKey(id, n), Charge: c})
+			}
+		}
+	}
+	return out
+}
+
+// SetTimer: choice.Sink.
+func (g *gateway) SetTimer(delay choice.Micros, token uint64) {
+	at := g.x.e.Now() + delay
+	g.timers.Set(at, token)
+	g.x.e.At(at, func(now choice.Micros) {
+		if g.dead {
+			return
+		}
+		g.timers.Fired(token)
+		g.m.TimerFired(now, token)
+	})
+}
+
+// arrive is a request of a client.
+func (g *gateway) arrive(now choice.Micros, r *request) {
+	if g.dead {
+		g.x.ends(now, r, "failed", 0)
+		return
+	}
+	for g.requests[g.next] != nil || g.next == 0 {
+		g.next++
+	}
+	r.in.ID = g.next
+	g.next++
+	r.in.TimeLeft = r.deadline - now
+	g.requests[r.in.ID] = r
+	if g.books != nil {
+		v := g.books.Charge(now, &r.in, 0, &r.charge)
+		g.book.Notices()
+		if v.Refuse {
+			r.done = true
+			g.x.ends(now, r, "contract", v.RetryAfter)
+			g.forget(r)
+			return
+		}
+		r.in.Factor, r.over, r.thought = max(1e-6, v.Worth), v.Over, r.charge.Thought
+	}
+	g.x.e.At(r.deadline, func(now choice.Micros) { g.leave(now, r) })
+	if home, tell := g.view.Home(now, &r.in); tell {
+		g.m.ListChanged(now, home)
+	}
+	g.m.RequestArrived(now, r.in)
+}
+
+// leave is a client whose patience has ended before its first token.
+func (g *gateway) leave(now choice.Micros, r *request) {
+	if r.done || r.bound != nil {
+		return
+	}
+	r.done = true
+	g.m.ClientGone(now, r.in.ID)
+	for _, a := range r.attempts {
+		if !a.over {
+			a.over = true
+			a.cancel()
+			g.outcome(now, a, choice.Cancelled, choice.Report{})
+		}
+	}
+	g.x.ends(now, r, "late", 0)
+	g.forget(r)
+}
+
+func (g *gateway) forget(r *request) {
+	if !r.done {
+		return
+	}
+	for _, a := range r.attempts {
+		if !a.over {
+			return
+		}
+	}
+	if g.books != nil {
+		g.books.Settle(g.x.e.Now(), r.in.ID, 0, &r.charge, contract.Use{}, false)
+	}
+	delete(g.requests, r.in.ID)
+}
+
+// Dispatch: choice.Sink.
+func (g *gateway) Dispatch(id choice.RequestID, to choice.ReplicaID, cutAt choice.Micros) {
+	r, now := g.requests[id], g.x.e.Now()
+	if r == nil || r.done || r.bound != nil {
+		return
+	}
+	h := g.x.workers[to-1]
+	g.x.jobs++
+	a := &attempt{g: g, r: r, n: len(r.attempts), h: h, id: g.x.jobs, sent: now}
+	r.attempts = append(r.attempts, a)
+	if g.books != nil {
+		c := &contract.Charge{}
+		if a.n == 0 {
+			*c, r.charge = r.charge, contract.Charge{}
+		} else if v := g.books.Charge(now, &r.in, a.n, c); v.Refuse {
+			g.x.e.After(0, func(now choice.Micros) { g.ended(now, a, choice.NotSent, choice.Report{}) })
+			return
+		}
+		if r.charges == nil {
+			r.charges = map[int]*contract.Charge{}
+		}
+		r.charges[a.n] = c
+	}
+	if cutAt <= 0 || cutAt > r.deadline {
+		cutAt = r.deadline
+	}
+	g.x.e.At(cutAt, func(now choice.Micros) {
+		if !a.over && r.bound != a && !r.done {
+			a.cancel()
+			g.ended(now, a, choice.TimedOut, choice.Report{})
+		}
+	})
+	g.x.e.After(g.x.way(g.zone, h.zone)+h.group.Params.Connect, a.arrive)
+}
+
+// opened is a first token that has come.
+func (g *gateway) opened(now choice.Micros, a *attempt) {
+	r := a.r
+	if a.over || a.first {
+		return
+	}
+	a.first = true
+	if r.done || r.bound != nil { // nobody's any more
+		a.cancel()
+		g.ended(now, a, choice.Cancelled, choice.Report{})
+		return
+	}
+	r.bound, r.firstAt = a, now
+	g.m.FirstToken(now, choice.Outcome{ID: r.in.ID, Attempt: a.n, Replica: choice.ReplicaID(a.h.no + 1), Elapsed: now - a.sent})
+}
+
+func (g *gateway) ended(now choice.Micros, a *attempt, status choice.Status, rep choice.Report) {
+	if a.over {
+		return
+	}
+	a.over = true
+	r := a.r
+	if status == choice.Served && r.bound != a {
+		status = choice.Cancelled
+	}
+	final := r.bound == a
+	if final {
+		r.done = true
+	}
+	g.outcome(now, a, status, rep)
+	if final {
+		if status == choice.Served {
+			g.x.ends(now, r, "served", 0)
+		} else {
+			g.x.ends(now, r, "broken", 0)
+		}
+	}
+	g.forget(r)
+}
+
+// outcome settles an attempt and tells the module.
+func (g *gateway) outcome(now choice.Micros, a *attempt, status choice.Status, rep choice.Report) {
+	r := a.r
+	if c := r.charges[a.n]; c != nil {
+		used := c.Used(status, r.in.PromptTokens, a.kept, a.made)
+		g.books.Settle(now, r.in.ID, a.n, c, used, status == choice.Served)
+		g.book.Notices()
+	}
+	if !status.NeverRan() && status != choice.Served {
+		r.wasted++
+		if r.counted && r.sentAt-start >= g.x.s.Warm { // it ended after its request did
+			g.x.res.Wasted++
+		}
+	}
+	g.m.AttemptEnded(now, choice.Outcome{ID: r.in.ID, Attempt: a.n, Replica: choice.ReplicaID(a.h.no + 1), Status: status, Elapsed: now - a.sent,
+		Final: r.done, Kept: a.kept, Tokens: a.made, Report: rep})
+}
+
+// Refuse: choice.Sink.
+func (g *gateway) Refuse(id choice.RequestID, after choice.Micros) { g.giveUp(id, "refused", after) }
+
+// Fail: choice.Sink.
+func (g *gateway) Fail(id choice.RequestID) { g.giveUp(id, "failed", 0) }
+
+func (g *gateway) giveUp(id choice.RequestID, how string, after choice.Micros) {
+	r, now := g.requests[id], g.x.e.Now()
+	if r == nil || r.done || r.bound != nil {
+		return
+	}
+	r.done = true
+	if g.books != nil {
+		g.books.Settle(now, id, 0, &r.charge, contract.Use{}, false)
+		g.books.TurnedAway(now, &r.in, r.thought, r.over)
+	}
+	g.x.ends(now, r, how, after)
+	g.x.e.After(0, func(choice.Micros) { g.forget(r) })
+}
+
+// Cancel: choice.Sink.
+func (g *gateway) Cancel(id choice.RequestID, n int) {
+	r := g.requests[id]
+	if r == nil || n >= len(r.attempts) || r.attempts[n] == r.bound || r.attempts[n].over {
+		return
+	}
+	a := r.attempts[n]
+	a.cancel()
+	g.x.e.After(0, func(now choice.Micros) { g.ended(now, a, choice.Cancelled, choice.Report{}) })
+}
+
+// Probe: choice.Sink.
+func (g *gateway) Probe(to choice.ReplicaID) {
+	g.x.res.Probes++
+	h, began := g.x.workers[to-1], g.x.e.Now()
+	g.x.e.After(g.x.way(g.zone, h.zone), func(choice.Micros) {
+		o := choice.Outcome{Replica: to, Status: choice.Served, Report: h.report()}
+		if h.w == nil && !h.silent {
+			o.Status = choice.ConnectFailed
+		}
+		back := g.x.way(h.zone, g.zone)
+		if h.silent { // as the gateway gives a probe up
+			o.Status, o.Report, back = choice.TimedOut, choice.Report{}, 250_000
+		}
+		g.x.e.After(back, func(now choice.Micros) {
+			if o.Elapsed = now - began; !g.dead {
+				g.m.ProbeEnded(now, o)
+			}
+		})
+	})
+}
+
+// TellPeers: choice.Sink. The gateways here do not talk.
+func (g *gateway) TellPeers([]byte) {}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -24,7 +24,10 @@
 
 func (e account) apply(l *loop) {
 	of := l.view.Stats()
-	c := figures.Control{Listed: of.Listed, Ready: l.registry.Ready(), Subset: of.Subset, Guests: of.Guests, Joined: of.Joined, Left: of.Left,
+	if l.g.o.Subset.Most <= 0 { // there is no bound
+		of.Subset = l.registry.Ready()
+	}
+	c := figures.Control{Listed: l.registry.Len(), Ready: l.registry.Ready(), Subset: of.Subset, Guests: of.Guests, Joined: of.Joined, Left: of.Left,
 		Version: l.registry.Version(), InForce: l.inForce, Busy: l.busy, Reports: l.reports}
 	e.out <- c // it has room
 }
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"archknot/choice"
+	"archknot/internal/figures"
+	"archknot/internal/memory"
+	"archknot/internal/wire/socket"
+)
+
+// Probes of replicas.
+
+// probe asks a worker for its state, and for its load where there are reports.
+func (g *Gateway) probe(w *memory.Worker) {
+	path := socket.LivePath
+	if g.o.Settings.ReportVia != choice.ReportNone {
+		path = socket.StatsPath
+	}
+	start, begin := g.clock.now(), time.Now()
+	e := probed{w: w, status: choice.Served}
+	err := caller{g.pool, &g.meters[figures.Probe]}.get(context.Background(), w.Key(), w.Addr, path, g.o.ProbeTimeout, func(resp *http.Response, body io.Reader) error {
+		text, err := io.ReadAll(io.LimitReader(body, maxProbe))
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode != http.StatusOK {
+			e.status = choice.Errored
+			return nil
+		}
+		if e.report = socket.HeaderLoad(resp.Header); e.report.Has == 0 {
+			e.report = socket.Load(strings.TrimSpace(string(text)))
+		}
+		return nil
+	})
+	switch {
+	case errors.Is(err, errConnect):
+		e.status = choice.ConnectFailed
+	case err != nil:
+		e.status, e.report = choice.TimedOut, choice.Report{}
+		g.pool.Doubt(w.Key(), begin)
+	}
+	e.elapsed = g.clock.now() - start
+	g.loop.events <- e
+}
--- /dev/null
+++ b/internal/gateway/terms_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"archknot/choice"
+)
+
+// The time that each attempt tells its replica is what the client has left when it is written, first
+// attempt or further one, and no more than 0.15 s above it. The first replica holds the request for a
+// while and turns it away; told the whole time again, the next one would work past the client's end.
+func TestFurtherAttemptsAreToldWhatIsLeft(t *testing.T) {
+	const (
+		wait  = 2 * time.Second
+		holds = 400 * time.Millisecond
+		slack = 150 * time.Millisecond
+	)
+	type attempt struct {
+		told time.Duration
+		at   time.Time
+	}
+	var mu sync.Mutex
+	var attempts []attempt
+	script := func(c net.Conn, r *http.Request) bool {
+		var told choice.Micros
+		fmt.Sscanf(r.Header.Get("Req-Deadline"), "%du", &told)
+		mu.Lock()
+		attempts = append(attempts, attempt{time.Duration(told) * time.Microsecond, time.Now()})
+		first := len(attempts) == 1
+		mu.Unlock()
+		if !first {
+			return whole(c, r)
+		}
+		<-time.After(holds) // what a slow refusal takes
+		io.WriteString(c, declined)
+		return true
+	}
+	g := start(t, nil, newWorker(t, "s-1", script), newWorker(t, "s-2", script))
+	c := dial(t, g.addr)
+	sent := time.Now()
+	c.ask("d1", "2000m")
+	if resp, _ := c.answer(); resp.StatusCode != 200 {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(attempts) != 2 {
+		t.Fatalf("%d attempts", len(attempts))
+	}
+	for i, a := range attempts {
+		if left := wait - a.at.Sub(sent); a.told > left+slack || a.told < left/2 {
+			t.Errorf("attempt %d was told %v, the client has %v left", i+1, a.told, left)
+		}
+	}
+}
+
+// Whatever replicas do, and whatever other clients do meanwhile, each request that was read gets one
+// final answer by its time: the term's half second past it is not needed.
+func TestTroubleFreesNoRequest(t *testing.T) {
+	const (
+		requests = 40
+		wait     = time.Second
+		late     = 500 * time.Millisecond
+	)
+	var turn atomic.Int64
+	troubles := []func(net.Conn, *http.Request) bool{says("", false), silent, says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", true),
+		says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", true), says(declined, true), says("HTTP/1.1 200 OK\r\nConte", false)}
+	trouble := func(c net.Conn, r *http.Request) bool {
+		return troubles[int(turn.Add(1))%len(troubles)](c, r)
+	}
+	var workers []*worker
+	for i := range 6 {
+		workers = append(workers, newWorker(t, fmt.Sprint("s-", i), trouble))
+	}
+	g := start(t, func(o *Options) { o.ClientConns = 400 }, workers...) // the limit of connections is another test's
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	for i := range 4 { // other clients: half requests, noise, sent and gone
+		others.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				c, err := net.Dial("tcp", g.addr)
+				if err != nil {
+					return
+				}
+				io.WriteString(c, []string{"POST /v1/chat", "\x00\x01\r\n\r\n", half, half + rest}[(i+n)%4])
+				c.Close()
+			}
+		})
+	}
+	var all sync.WaitGroup
+	for i := range requests {
+		all.Go(func() {
+			c := dial(t, g.addr)
+			begun := time.Now()
+			c.ask(fmt.Sprint("t", i), "1000m")
+			resp, err := http.ReadResponse(c.in, nil)
+			if err != nil {
+				t.Errorf("request %d: no answer: %v after %v", i, err, time.Since(begun))
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			if took := time.Since(begun); took > wait+late || resp.StatusCode == http.StatusOK {
+				t.Errorf("request %d: status %d after %v", i, resp.StatusCode, took)
+			}
+		})
+	}
+	all.Wait()
+	close(stop)
+	others.Wait()
+	until(t, "nothing is in hand", func() bool { return g.clients.held() == 0 })
+}
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -87,7 +87,7 @@
 	if index < 0 {
 		index = s.Self
 	}
-	return subset.Settings{Most: c.Most, Index: index, Zone: s.Zone, Remote: c.Remote,
+	return subset.Settings{Most: c.Most, Index: index, Gateways: s.Gateways, Zone: s.Zone, Remote: c.Remote,
 		Weighted: s.Weights == choice.WeightNominal, ColdFor: s.ColdFor}
 }
 
--- a/internal/memory/registry.go
+++ b/internal/memory/registry.go
@@ -62,6 +62,9 @@
 // Version is the list's, as it was told last.
 func (r *Registry) Version() int64 { return r.version }
 
+// Len counts the workers on the list.
+func (r *Registry) Len() int { return len(r.workers) }
+
 // Ready counts the workers that take work.
 func (r *Registry) Ready() int { return r.ready }
 
--- /dev/null
+++ b/internal/metrics/control.go
@@ -0,0 +1,73 @@
+package metrics
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"archknot/internal/figures"
+)
+
+// controlWork collects a gateway's account of its control work.
+type controlWork struct{ from Source }
+
+func controlDesc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("archknot_control_"+name, help, labels, nil)
+}
+
+var (
+	replicasDesc    = controlDesc("replicas", "Replicas: listed by discovery, ready, in the gateway's subset, and homes of requests beside it.", "set")
+	movedDesc       = controlDesc("subset_moved_total", "Replicas that have come into the gateway's subset, and out of it.", "way")
+	refusedDesc     = controlDesc("refused_lists_total", "Lists of discovery's that were not taken.")
+	versionDesc     = controlDesc("list_version", "The version of the list in force.")
+	connectionsDesc = controlDesc("connections", "Connections to replicas that are open.")
+	busyDesc        = controlDesc("decide_seconds_total", "Time that the task that decides was busy.")
+	attemptsDesc    = controlDesc("attempts_total", "Attempts, by whether there was a report of the replica's load.", "report")
+	reportAgeDesc   = controlDesc("report_age_seconds_total", "Ages of the reports that attempts went by, summed up.")
+	callsDesc       = controlDesc("calls_total", "Calls over connections, by purpose.", "purpose")
+	openedDesc      = controlDesc("opened_total", "Connections that were opened, by purpose.", "purpose")
+	bytesDesc       = controlDesc("bytes_total", "Bytes over connections, by purpose and way.", "purpose", "way")
+)
+
+func (c *controlWork) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{replicasDesc, movedDesc, refusedDesc, versionDesc, connectionsDesc, busyDesc, attemptsDesc,
+		reportAgeDesc, callsDesc, openedDesc, bytesDesc} {
+		ch <- d
+	}
+}
+
+func (c *controlWork) Collect(ch chan<- prometheus.Metric) {
+	ctx, stop := context.WithTimeout(context.Background(), scrapeWithin)
+	defer stop()
+	of, err := c.from.Control(ctx)
+	if err != nil {
+		ch <- prometheus.NewInvalidMetric(replicasDesc, err)
+		return
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	count := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, v, labels...)
+	}
+	gauge(replicasDesc, float64(of.Listed), "listed")
+	gauge(replicasDesc, float64(of.Ready), "ready")
+	gauge(replicasDesc, float64(of.Subset), "subset")
+	gauge(replicasDesc, float64(of.Guests), "home")
+	count(movedDesc, float64(of.Joined), "in")
+	count(movedDesc, float64(of.Left), "out")
+	count(refusedDesc, float64(of.RefusedLists))
+	gauge(versionDesc, float64(of.Version))
+	gauge(connectionsDesc, float64(of.Connections))
+	count(busyDesc, of.Busy.Seconds())
+	count(attemptsDesc, float64(of.Reports.Known), "known")
+	count(attemptsDesc, float64(of.Reports.Unknown), "none")
+	count(reportAgeDesc, of.Reports.Sum.Seconds())
+	for p := range figures.Purposes {
+		t, word := of.Traffic[p], figures.Purpose(p).String()
+		count(callsDesc, float64(t.Calls), word)
+		count(openedDesc, float64(t.Opened), word)
+		count(bytesDesc, float64(t.BytesIn), word, "in")
+		count(bytesDesc, float64(t.BytesOut), word, "out")
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -14,11 +14,13 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"archknot/internal/contract"
+	"archknot/internal/figures"
 )
 
 // Source tells the figures.
 type Source interface {
 	Accounts(ctx context.Context) ([]contract.Account, error)
+	Control(ctx context.Context) (figures.Control, error)
 }
 
 // scrapeWithin bounds the time that figures may take.
@@ -50,7 +52,7 @@
 // Handler serves the figures.
 func Handler(teams int, from Source) http.Handler {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collectors.NewGoCollector(), &accounts{teams, from})
+	r.MustRegister(collectors.NewGoCollector(), &accounts{teams, from}, &controlWork{from})
 	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: 4, Timeout: scrapeWithin * 2})
 }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -8,20 +8,25 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"archknot/internal/contract"
+	"archknot/internal/figures"
 )
 
 type source struct {
-	list []contract.Account
-	err  error
+	list    []contract.Account
+	control figures.Control
+	err     error
 }
 
 func (s *source) Accounts(context.Context) ([]contract.Account, error) { return s.list, s.err }
 
+func (s *source) Control(context.Context) (figures.Control, error) { return s.control, s.err }
+
 func account(i int) contract.Account {
 	a := contract.Account{Team: fmt.Sprint("team", i), Level: 5 * contract.Token, Open: 2, Part: 0.25, Valid: true}
 	a.Used[contract.Hour], a.Limit[contract.Hour] = 30*contract.Token, 100*contract.Token
@@ -97,3 +102,38 @@
 	var none *Server
 	none.Close()
 }
+
+// What a gateway tells of its control work is there by name, purpose and way.
+func TestControlWork(t *testing.T) {
+	s := &source{control: figures.Control{Listed: 6000, Ready: 5990, Subset: 102, Guests: 64, Joined: 110, Left: 8, RefusedLists: 3, Version: 41,
+		Connections: 120, Busy: 2500 * time.Millisecond, Reports: figures.ReportAge{Known: 40, Unknown: 2, Sum: 12 * time.Second}}}
+	s.control.Traffic[figures.Probe] = figures.Traffic{Calls: 70, Opened: 9, BytesIn: 10_000, BytesOut: 4000}
+	got := map[string]float64{}
+	r := prometheus.NewRegistry()
+	r.MustRegister(&controlWork{s})
+	families, err := r.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		for _, m := range f.Metric {
+			name := strings.TrimPrefix(f.GetName(), "archknot_control_")
+			for _, l := range m.Label {
+				name += " " + l.GetValue()
+			}
+			got[name] = m.Gauge.GetValue() + m.Counter.GetValue()
+		}
+	}
+	for name, want := range map[string]float64{"replicas listed": 6000, "replicas ready": 5990, "replicas subset": 102, "replicas home": 64,
+		"subset_moved_total in": 110, "subset_moved_total out": 8, "refused_lists_total": 3, "list_version": 41, "connections": 120,
+		"decide_seconds_total": 2.5, "attempts_total known": 40, "attempts_total none": 2, "report_age_seconds_total": 12,
+		"calls_total probe": 70, "opened_total probe": 9, "bytes_total probe in": 10_000, "bytes_total probe out": 4000, "calls_total discovery": 0} {
+		if v, ok := got[name]; !ok || v != want {
+			t.Errorf("%s: %v, want %v", name, v, want)
+		}
+	}
+	s.err = errors.New("it does not answer")
+	if _, err := r.Gather(); err == nil {
+		t.Error("figures that cannot be had are told as if they could")
+	}
+}
--- /dev/null
+++ b/internal/revision/bench_test.go
@@ -0,0 +1,26 @@
+package revision
+
+import (
+	"fmt"
+	"testing"
+
+	"archknot/choice"
+)
+
+// BenchmarkCheck is the check of one version over the number of tenants: a version has all of them.
+func BenchmarkCheck(b *testing.B) {
+	for _, tenants := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(tenants), func(b *testing.B) {
+			c := &Config{Number: 1, HasClasses: true, HasTenants: true, Classes: []choice.Class{{Name: "chat", Aim: 1e6, Deadline: 4e6, Worth: 1, Stream: true}}}
+			for i := range tenants {
+				c.Tenants = append(c.Tenants, Tenant{Name: fmt.Sprintf("tenant-%04d", i)})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if r := Check(c, DefaultLimits); len(r) > 0 {
+					b.Fatal(r)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/subset/cold_test.go
@@ -0,0 +1,107 @@
+package subset_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"archknot/choice"
+	"archknot/internal/subset"
+)
+
+// Slow start holds under the sum of all gateways where each works with its own part of the fleet and
+// is told homes beside it: what a replica in slow start is sent in any span stays within N + 3 roots of
+// N + 3 (under 30; else 2 roots and 2), N being what it can do then. Replicas in slow start look empty
+// and all others full; sessions and prefixes are shared by all gateways.
+func TestSumAtColdReplicasWithSubsets(t *testing.T) {
+	const second choice.Micros = 1_000_000
+	for _, c := range []struct {
+		gateways, replicas, cold, zones, most int
+		rate                                  float64 // of the whole fleet, a second
+	}{{60, 240, 80, 1, 40, 400}, {60, 240, 80, 3, 40, 400}, {30, 90, 1, 3, 20, 900}, {12, 400, 390, 2, 50, 1200}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			t.Parallel()
+			s := choice.Settings{Gateways: c.gateways, Kinds: []string{"k"}, MaxAttempts: 2, MayCancel: true, ReportVia: choice.ReportInline,
+				Classes: []choice.Class{{Name: "chat", Aim: second, Deadline: 10 * second, Worth: 1, Stream: true}}, ConnStreams: 1, ConnIdle: 45 * second,
+				StartCapacity: 0.3, FallMultiple: 3, ColdFor: 9 * second, FallSpan: 3 * second / 2, Tick: 2000}
+			start := 100 * second
+			var list []choice.Member
+			for i := range c.replicas {
+				m := choice.Member{Replica: choice.ReplicaID(i + 1), State: choice.MemberReady, Weight: 1, Kind: "k", Zone: fmt.Sprint("z", i%c.zones), Since: 1}
+				if i < c.cold {
+					m.Since = start
+				}
+				list = append(list, m)
+			}
+			sent := map[choice.ReplicaID][]float64{}
+			for self := range c.gateways {
+				s.Self, s.Zone = self, fmt.Sprint("z", self%c.zones)
+				sink := &nowhere{}
+				m, err := choice.New(s, 1, sink) // the same seed at each
+				if err != nil {
+					t.Fatal(err)
+				}
+				v := subset.NewView(subset.Settings{Most: c.most, Index: self, Gateways: c.gateways, Zone: s.Zone, Remote: subset.DefaultRemote, ColdFor: s.ColdFor}, m)
+				m.Start(start)
+				m.ListChanged(start, v.Apply(start, choice.ServerList{Kind: choice.ListSaved, Members: list}))
+				rng := rand.New(rand.NewPCG(uint64(self), 5))
+				now, id := float64(start), choice.RequestID(0)
+				for tick := start; ; {
+					now += rng.ExpFloat64() * 1e6 * float64(c.gateways) / c.rate
+					at := choice.Micros(now)
+					if at >= start+s.ColdFor {
+						break
+					}
+					for ; tick < at; tick += second / 4 {
+						m.TimerFired(tick, 0)
+					}
+					id++
+					in := choice.Request{ID: id, Class: "chat", TimeLeft: 10 * second, PromptTokens: 500, MaxTokens: 100,
+						Session: rng.Uint64N(3000) + 1, Prefix: rng.Uint64N(50) + 1, PrefixTokens: 200}
+					if home, tell := v.Home(at, &in); tell {
+						m.ListChanged(at, home)
+					}
+					sink.to = 0
+					m.RequestArrived(at, in)
+					if sink.to == 0 {
+						continue
+					}
+					report := choice.Report{Has: choice.HasInFlight, InFlight: 40}
+					if int(sink.to) <= c.cold {
+						sent[sink.to] = append(sent[sink.to], now/1e6)
+						report.InFlight = 0
+					}
+					m.AttemptEnded(at+1, choice.Outcome{ID: id, Replica: sink.to, Status: choice.Served, Elapsed: second / 2, Final: true, Report: report})
+				}
+			}
+			most, total, over := 0.0, 0, 0
+			for _, times := range sent {
+				slices.Sort(times)
+				total += len(times)
+				for i, first := range times {
+					warm := s.StartCapacity + (1-s.StartCapacity)*(first-100)/9
+					n := s.FallMultiple * warm * c.rate / float64(c.replicas) * 1.5
+					got := 0.0
+					for _, next := range times[i:] {
+						if next < first+1.5 {
+							got++
+						}
+					}
+					bound := n + 3*math.Sqrt(n) + 3
+					if n >= 30 {
+						bound = n + 2*math.Sqrt(n) + 2
+					}
+					if most = max(most, (got-n)/math.Sqrt(n)); got > bound {
+						over++
+					}
+				}
+			}
+			t.Logf("largest excess %.2f roots of N; %d sent to %d in slow start", most, total, c.cold)
+			if over > 0 || total == 0 {
+				t.Errorf("over the bound in %d spans, largest excess %.2f roots of N; %d sent", over, most, total)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/subset/pick_bench_test.go
@@ -0,0 +1,63 @@
+package subset_test
+
+import (
+	"fmt"
+	"testing"
+
+	"archknot/choice"
+	"archknot/internal/subset"
+)
+
+// nowhere takes a module's orders.
+type nowhere struct{ to choice.ReplicaID }
+
+func (n *nowhere) Dispatch(_ choice.RequestID, to choice.ReplicaID, _ choice.Micros) { n.to = to }
+func (*nowhere) Refuse(choice.RequestID, choice.Micros)                              {}
+func (*nowhere) Fail(choice.RequestID)                                               {}
+func (*nowhere) Cancel(choice.RequestID, int)                                        {}
+func (*nowhere) SetTimer(choice.Micros, uint64)                                      {}
+func (*nowhere) Probe(choice.ReplicaID)                                              {}
+func (*nowhere) TellPeers([]byte)                                                    {}
+func (*nowhere) WatchRegistry()                                                      {}
+
+// BenchmarkRequest is all that is decided for a request, from its arrival to its end: the home, the
+// list that tells it, the pick and what its end teaches. The fleet is in one zone or in eighteen.
+func BenchmarkRequest(b *testing.B) {
+	for _, c := range []struct{ replicas, zones, most int }{
+		{100, 1, 128}, {100, 1, 0}, {1000, 1, 0}, {6000, 1, 0}, {1000, 1, 128}, {6000, 1, 128}, {6000, 18, 128},
+	} {
+		b.Run(fmt.Sprintf("replicas=%d/zones=%d/most=%d", c.replicas, c.zones, c.most), func(b *testing.B) {
+			sink := &nowhere{}
+			s := choice.Settings{Self: 3, Gateways: 1800, Zone: "z3", Kinds: []string{"k"}, MaxAttempts: 3, MayCancel: true, ReportVia: choice.ReportInline,
+				Classes: []choice.Class{{Name: "chat", Aim: 1e6, Deadline: 10e6, Worth: 1, Stream: true}}, ConnStreams: 1, ConnIdle: 45e6}
+			m, err := choice.New(s, 7, sink)
+			if err != nil {
+				b.Fatal(err)
+			}
+			v := subset.NewView(subset.Settings{Most: c.most, Index: 3, Gateways: 1800, Zone: "z3", Remote: subset.DefaultRemote, ColdFor: 9e6}, m)
+			list := choice.ServerList{Kind: choice.ListFull}
+			for i := range c.replicas {
+				list.Members = append(list.Members, choice.Member{Replica: choice.ReplicaID(uint32(i+1) * 2654435761), State: choice.MemberReady,
+					Weight: 1, Kind: "k", Zone: fmt.Sprint("z", i%c.zones), Since: 1})
+			}
+			now := choice.Micros(100e6)
+			m.Start(now)
+			m.ListChanged(now, v.Apply(now, list))
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now += 27_000
+				in := choice.Request{ID: choice.RequestID(n + 1), Class: "chat", TimeLeft: 10e6, PromptTokens: 800, MaxTokens: 300,
+					Session: uint64(n%20_000) + 1, Prefix: uint64(n%4_000) + 1, PrefixTokens: 400}
+				if home, tell := v.Home(now, &in); tell {
+					m.ListChanged(now, home)
+				}
+				m.RequestArrived(now, in)
+				o := choice.Outcome{ID: in.ID, Replica: sink.to, Elapsed: 400_000}
+				m.FirstToken(now+400_000, o)
+				o.Elapsed, o.Status, o.Final, o.Tokens = 3_000_000, choice.Served, true, 90
+				o.Report = choice.Report{Has: choice.HasInFlight, InFlight: float64(n % 9)}
+				m.AttemptEnded(now+3_000_000, o)
+			}
+		})
+	}
+}
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -29,18 +29,30 @@
 type Settings struct {
 	Most     int           // replicas a gateway works with; lists up to it pass whole; 0: all pass whole
 	Index    int           // this gateway's number
+	Gateways int           // how many there are; 0: not told
 	Zone     string        // its zone; "": none
 	Remote   float64       // part of the subset that is taken from all zones alike
 	Weighted bool          // weights in the list are sizes: twice the weight is in twice as many subsets
 	ColdFor  choice.Micros // how long a replica is in slow start
 }
 
-// usual is how many replicas a subset has in the mean: a margin below the bound, for the number in a
-// window scatters.
-func (s *Settings) usual() float64 { return float64(s.Most) * 4 / 5 }
+// leastSharers is how many gateways have a replica in their subsets in the mean, at least. With fewer
+// some replicas are in no subset and others in twice as many as the mean.
+const leastSharers = 16
 
-// least is how many replicas that take work a subset has at least, where there are so many.
-func (s *Settings) least() int { return max(1, s.Most*2/5) }
+// bound is how many replicas of so many a subset has at most: more than Most where there are few
+// gateways for them.
+func (s *Settings) bound(listed int) int {
+	if s.Gateways <= 0 {
+		return s.Most
+	}
+	needed := float64(leastSharers) * float64(listed) / float64(s.Gateways)
+	return max(s.Most, int(math.Ceil(needed/usualPart)))
+}
+
+// usualPart is the part of the bound that a subset has in the mean, a margin, for the number in a window
+// scatters; and leastPart the part that takes work at least, where there are so many.
+const usualPart, leastPart = 0.8, 0.4
 
 // replica is one of the list as the view holds it.
 type replica struct {
@@ -72,17 +84,19 @@
 // choose marks the replicas that are in the subset and returns how many of these take work.
 func (s *Settings) choose(fleet []*replica) (zones *zoneTable, ready int) {
 	zones = s.zones(fleet)
-	s.place(fleet)
-	scale := s.scale(fleet, zones.ready)
+	most := s.bound(len(fleet))
+	usual := usualPart * float64(most)
+	s.place(fleet, usual)
+	scale := scaleTo(fleet, min(usual, float64(zones.ready)))
 	for range widenMost {
 		ready = mark(fleet, scale)
-		if want := min(s.least(), zones.ready); ready >= want {
+		if want := min(max(1, int(leastPart*float64(most))), zones.ready); ready >= want {
 			break
 		}
 		scale *= widen // few that take work are in reach: another part of the fleet has to do
 	}
-	if ready > s.Most {
-		ready = s.trim(fleet)
+	if ready > most {
+		ready = trim(fleet, most)
 	}
 	return zones, ready
 }
@@ -92,13 +106,13 @@
 const widen, widenMost = 1.5, 64
 
 // place sets where each replica lies by this gateway's windows.
-func (s *Settings) place(fleet []*replica) {
+func (s *Settings) place(fleet []*replica, usual float64) {
 	for _, r := range fleet {
 		if r.zone == nil {
 			r.width, r.offset = 0, 0
 			continue
 		}
-		r.width = s.usual() * r.zone.share * r.size(s.Weighted) / r.zone.weight
+		r.width = usual * r.zone.share * r.size(s.Weighted) / r.zone.weight
 		offset := r.position - r.zone.starts[r.ring]
 		r.offset = offset - math.Floor(offset)
 	}
@@ -115,10 +129,9 @@
 	return ready
 }
 
-// scale is the factor on all windows by which the subset has its usual size in the mean. It is 1
-// unless a zone is too small for its part.
-func (s *Settings) scale(fleet []*replica, ready int) float64 {
-	want := min(s.usual(), float64(ready))
+// scaleTo is the factor on all windows by which the subset has a size in the mean. It is 1 unless a
+// zone is too small for its part.
+func scaleTo(fleet []*replica, want float64) float64 {
 	expected := func(scale float64) (sum float64) {
 		for _, r := range fleet {
 			if r.State == choice.MemberReady {
@@ -149,7 +162,7 @@
 }
 
 // trim takes those that lie last in their windows out of the subset, down to the bound.
-func (s *Settings) trim(fleet []*replica) (ready int) {
+func trim(fleet []*replica, most int) (ready int) {
 	var in []*replica
 	for _, r := range fleet {
 		if r.in && r.State == choice.MemberReady {
@@ -160,10 +173,10 @@
 	slices.SortFunc(in, func(a, b *replica) int {
 		return cmp.Or(cmp.Compare(place(a), place(b)), cmp.Compare(a.Replica, b.Replica))
 	})
-	for _, r := range in[s.Most:] {
+	for _, r := range in[most:] {
 		r.in = false
 	}
-	return s.Most
+	return most
 }
 
 // rings is how many rings a zone has. On one ring the same gateways would be neighbours everywhere,
--- a/internal/subset/view.go
+++ b/internal/subset/view.go
@@ -66,7 +66,7 @@
 		}
 	}
 	v.enter(now, &list)
-	v.active = len(v.fleet) > v.s.Most
+	v.active = len(v.fleet) > v.s.bound(len(v.fleet))
 	v.index()
 	if !v.active {
 		v.stats.Subset, v.stats.Guests = v.stats.Ready, 0
