--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -7,8 +7,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -16,6 +14,7 @@
 	"archknot/choice"
 	"archknot/internal/fleet/emulate"
 	"archknot/internal/fleet/model"
+	"archknot/internal/procstat"
 )
 
 // Options of a drill.
@@ -402,8 +401,8 @@
 
 // use is what a process has taken up.
 type use struct {
-	pid   int
-	ticks int64
+	pid  int
+	time time.Duration
 }
 
 // usage is what the processes have used of the processors.
@@ -412,48 +411,26 @@
 	for i, n := range c.nodes {
 		n.mu.Lock()
 		if n.cmd != nil {
-			out[i] = use{n.cmd.Process.Pid, ticks(n.cmd.Process.Pid)}
+			out[i] = use{n.cmd.Process.Pid, procstat.ProcessorTime(n.cmd.Process.Pid)}
 		}
 		n.mu.Unlock()
 	}
 	return out
 }
 
-// ticks is a process's time on processors, in hundredths of a second (proc(5)).
-func ticks(pid int) int64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) < 13 {
-		return 0
-	}
-	u, _ := strconv.ParseInt(fields[11], 10, 64)
-	k, _ := strconv.ParseInt(fields[12], 10, 64)
-	return u + k
-}
-
 // spent enters what the processes that ran all the time used.
 func (c *cluster) spent(before []use, res *Result) {
-	total := int64(0)
+	total := time.Duration(0)
 	for i, now := range c.usage() {
 		if now.pid == 0 || now.pid != before[i].pid {
 			continue
 		}
-		total += now.ticks - before[i].ticks
-		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", now.pid))
-		for line := range strings.Lines(string(text)) {
-			if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-				kb, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
-				res.MemoryMB = max(res.MemoryMB, kb/1024)
-			}
-		}
+		total += now.time - before[i].time
+		res.MemoryMB = max(res.MemoryMB, procstat.ResidentMB(now.pid))
 		files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", now.pid))
 		res.Files = max(res.Files, len(files))
 	}
-	res.CPUMs = float64(total) * 10
+	res.CPUMs = total.Seconds() * 1000
 }
 
 func one(v bool) int {
--- a/internal/drill/scale/processes.go
+++ b/internal/drill/scale/processes.go
@@ -8,13 +8,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
 	"archknot/internal/control"
 	"archknot/internal/figures"
+	"archknot/internal/procstat"
 	"archknot/internal/wire/socket"
 )
 
@@ -106,7 +105,7 @@
 		return c, u, err
 	}
 	pid := p.cmd.Process.Pid
-	return c, Usage{CPU: processorTime(pid), ResidentMB: residentMB(pid)}, nil
+	return c, Usage{CPU: procstat.ProcessorTime(pid), ResidentMB: procstat.ResidentMB(pid)}, nil
 }
 
 func (all *processes) close() {
@@ -121,34 +120,3 @@
 		p.log.Close()
 	}
 }
-
-// processorTime is what a process has used of the processors (proc(5)).
-func processorTime(pid int) time.Duration {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	fields := strings.Fields(rest)
-	const user, system, tick = 11, 12, 10 * time.Millisecond
-	if len(fields) <= system {
-		return 0
-	}
-	u, _ := strconv.ParseInt(fields[user], 10, 64)
-	s, _ := strconv.ParseInt(fields[system], 10, 64)
-	return time.Duration(u+s) * tick
-}
-
-// residentMB is a process's resident memory; 0 if there is none.
-func residentMB(pid int) float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(text))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, _ := strconv.ParseFloat(fields[1], 64)
-	return pages * float64(os.Getpagesize()) / (1 << 20)
-}
--- a/internal/drill/scale/role.go
+++ b/internal/drill/scale/role.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"archknot/internal/figures"
+	"archknot/internal/procstat"
 	"archknot/internal/wire/socket"
 )
 
@@ -80,7 +81,7 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return Usage{CPU: time.Duration(r.Utime.Nano() + r.Stime.Nano()), ResidentMB: residentMB(os.Getpid()), HeapMB: float64(m.HeapAlloc) / (1 << 20)}
+	return Usage{CPU: time.Duration(r.Utime.Nano() + r.Stime.Nano()), ResidentMB: procstat.ResidentMB(os.Getpid()), HeapMB: float64(m.HeapAlloc) / (1 << 20)}
 }
 
 // role is a process that was started in a role.
--- a/internal/drill/scale/scale.go
+++ b/internal/drill/scale/scale.go
@@ -17,6 +17,7 @@
 
 	"archknot/internal/build"
 	"archknot/internal/conf"
+	"archknot/internal/procstat"
 	"archknot/internal/wire/socket"
 )
 
@@ -221,12 +222,12 @@
 
 // memory is what all processes take; megabytes.
 func (f *fleet) memory() float64 {
-	sum := residentMB(os.Getpid())
+	sum := procstat.ResidentMB(os.Getpid())
 	for _, r := range f.roles() {
-		sum += residentMB(r.pid())
+		sum += procstat.ResidentMB(r.pid())
 	}
 	for _, g := range f.real.list {
-		sum += residentMB(g.cmd.Process.Pid)
+		sum += procstat.ResidentMB(g.cmd.Process.Pid)
 	}
 	return sum
 }
