--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -167,6 +167,11 @@
 		"[capture]\nsegment-size 8MiB\nkeep-size 9MiB\n": "a.conf:2:1: capture.segment-size: expected at most half of keep-size",
 		"[capture]\nkeep-age 1m\n":                       "capture.segment-age: expected at most half of keep-age",
 		"[incident]\nwindow 1h\n":                        "incident.window: expected at most capture.keep-age",
+		"[subset]\nmost 5\n":                             "a.conf:2:1: subset.most: expected 0, or 16 or more, got 5",
+		"[subset]\nmost -1\n":                            "subset.most: expected 0 to 100000",
+		"[subset]\nremote 2\n":                           "subset.remote: expected 0% to 100%",
+		"[subset]\nindex -2\n":                           "subset.index: expected -1 to",
+		"[subset]\nleast 2\n":                            "subset.least: unknown key",
 	} {
 		if _, err := Load(write(t, dir, "a.conf", text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v", text, err)
--- a/internal/subset/subset_test.go
+++ b/internal/subset/subset_test.go
@@ -443,3 +443,75 @@
 		}
 	}
 }
+
+// A gateway with another's index works with the other's part, and nothing else is different: one in
+// ten with an old index leaves the spread nearly as it was. The last list counts, whatever its version.
+func TestOldIndexesAndLists(t *testing.T) {
+	members := zoned(0, even(3, 400)...)
+	subsets, sizes := map[choice.ReplicaID]int{}, 0
+	for i := range 300 {
+		index := i
+		if i%10 == 9 {
+			index = 300 + i/2 // as it was before the gateways were numbered anew
+		}
+		s := bound(128, index, fmt.Sprint("z", i%3))
+		got := ids(NewView(s, noFigures{}).Apply(second, full(members)))
+		for id := range got {
+			subsets[id]++
+		}
+		sizes += len(got)
+	}
+	largest := 0
+	for _, n := range subsets {
+		largest = max(largest, n)
+	}
+	mean := float64(sizes) / float64(len(members))
+	if len(subsets) != len(members) || float64(largest)/mean > 1.6 {
+		t.Errorf("%d replicas in use, %.1f gateways each, %d at most", len(subsets), mean, largest)
+	}
+	v := NewView(bound(128, 5, "z1"), noFigures{})
+	first := ids(v.Apply(second, full(members)))
+	held := map[choice.ReplicaID]choice.Member{}
+	for _, list := range []choice.ServerList{full(members[:300]), full(members), full(members[200:]), full(members)} {
+		list.Version = int64(len(list.Members)) // out of order
+		follow(held, v.Apply(2*second, list))
+	}
+	for id := range held {
+		if !first[id] {
+			t.Fatal("another subset by the way it came about")
+		}
+	}
+	if len(held) != len(first) {
+		t.Errorf("%d held, %d by one list", len(held), len(first))
+	}
+}
+
+// Replicas of which no start is told were up before discovery's first list, also where an empty saved
+// list came before it; one that comes later has started just now.
+func TestStartsThatAreNotTold(t *testing.T) {
+	members := zoned(0, 400)
+	for i := range members {
+		members[i].Since = 0
+	}
+	v := NewView(bound(128, 5, "z0"), noFigures{})
+	v.Apply(second, choice.ServerList{Kind: choice.ListSaved})
+	for _, m := range v.Apply(2*second, full(members)).Members {
+		if m.Since != longAgo {
+			t.Fatalf("first list: started at %d", m.Since)
+		}
+	}
+	late := zoned(1000, 300)
+	for i := range late {
+		late[i].Since = 0
+	}
+	news := v.Apply(3*second, choice.ServerList{Kind: choice.ListDelta, Members: late})
+	came := 0
+	for _, m := range news.Members {
+		if m.Replica != 0 && v.fleet[m.Replica].Since == 3*second {
+			came++
+		}
+	}
+	if came == 0 {
+		t.Error("none that came later is in the subset")
+	}
+}
--- a/internal/subset/view.go
+++ b/internal/subset/view.go
@@ -26,7 +26,7 @@
 	pools   map[string]*pool // by zone; made when they are asked for
 	regroup bool             // replicas have come or gone since sorted was made
 	active  bool             // the module is told a part
-	heard   bool             // a list has come
+	heard   bool             // discovery itself has told a list
 	told    map[choice.ReplicaID]choice.Member
 	guests  map[choice.ReplicaID]uint64 // homes outside of the subset, by when they were last wanted
 	clock   uint64
@@ -98,12 +98,12 @@
 			}
 		}
 	}
-	v.heard = true
+	v.heard = v.heard || list.Kind.Heard()
 }
 
 func (v *View) put(now choice.Micros, m choice.Member) {
 	was := v.fleet[m.Replica]
-	if m.Since == 0 { // not told: long ago, unless it has come since the first list
+	if m.Since == 0 { // not told: long ago, unless it has come since discovery's first list
 		switch {
 		case was != nil:
 			m.Since = was.Since
