--- a/choice/guard.go
+++ b/choice/guard.go
@@ -20,7 +20,7 @@
 	coldCare = 0.45
 	// coldFavor is by how much less the score of the cold replica that an attempt is offered
 	// weighs: an offer passed by is room that nobody else uses.
-	coldFavor = 0.5
+	coldFavor = 0.35
 	// leastUtil bounds what reports of how busy warm replicas are may tell of their room.
 	leastUtil = 0.5
 	// lateMost is the share of late requests from which less is admitted, and
