--- a/cmd/archknot/main_test.go
+++ b/cmd/archknot/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -56,9 +57,14 @@
 	return l.Addr().String()
 }
 
+// serve listens at an address that was found free before: another process may have its port for a moment.
 func serve(t *testing.T, addr string, h http.HandlerFunc) {
 	t.Helper()
 	l, err := net.Listen("tcp", addr)
+	for end := time.Now().Add(3 * time.Second); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+		l, err = net.Listen("tcp", addr)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
