State that nothing read is gone from subsets and from the reading of lists

Read over: zone.ready was counted and never read; listParser.ids was one function's own; knownZone was slices.Contains; newPool cloned a slice made for it; choose's comment did not name what it returns.

--- a/internal/subset/homes.go
+++ b/internal/subset/homes.go
@@ -25,8 +25,9 @@
 	replicas []*replica
 }
 
+// newPool makes a pool of replicas that are the pool's own from then on.
 func newPool(replicas []*replica) *pool {
-	p := &pool{replicas: slices.Clone(replicas)}
+	p := &pool{replicas: replicas}
 	slices.SortFunc(p.replicas, func(a, b *replica) int { return cmp.Compare(poolKey(a), poolKey(b)) })
 	for _, r := range p.replicas {
 		p.keys = append(p.keys, poolKey(r))
--- a/internal/subset/subset.go
+++ b/internal/subset/subset.go
@@ -81,7 +81,8 @@
 	return r.Weight
 }
 
-// choose marks the replicas that are in the subset and returns how many of these take work.
+// choose marks the replicas that are in the subset. It returns the list by zones, and how many of the
+// subset take work.
 func (s *Settings) choose(fleet []*replica) (zones *zoneTable, ready int) {
 	zones = s.zones(fleet)
 	most := s.bound(len(fleet))
--- a/internal/subset/zones.go
+++ b/internal/subset/zones.go
@@ -9,7 +9,6 @@
 // zone is what the list has of one zone.
 type zone struct {
 	name   string
-	ready  int
 	weight float64        // of the replicas that take work
 	share  float64        // of this gateway's subset that comes from here
 	home   float64        // share of the requests of this gateway's zone that are at home here
@@ -39,7 +38,6 @@
 		if last == nil || last.name != r.Zone {
 			last = t.zone(s, r.Zone)
 		}
-		last.ready++
 		last.weight += r.size(s.Weighted)
 		r.zone = last
 		t.ready++
--- a/internal/wire/socket/list.go
+++ b/internal/wire/socket/list.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 )
 
@@ -53,7 +54,6 @@
 	allowance *allowance
 	in        *json.Decoder
 	list      List
-	ids       map[string]bool
 	read      map[string]bool // the keys that have come
 }
 
@@ -159,23 +159,18 @@
 	if len(p.limits.Zones) == 0 || entry.Zone == "" || entry.Lifecycle == "gone" {
 		return true
 	}
-	for _, zone := range p.limits.Zones {
-		if zone == entry.Zone {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(p.limits.Zones, entry.Zone)
 }
 
 // noDoubles refuses a whole list that names a replica twice. Changes may: the last one counts.
 func (p *listParser) noDoubles() error {
-	p.ids = make(map[string]bool, len(p.list.Instances))
+	ids := make(map[string]bool, len(p.list.Instances))
 	for i := range p.list.Instances {
 		id := p.list.Instances[i].ID
-		if p.ids[id] {
+		if ids[id] {
 			return badList("instances[%d]: %.60q is named twice", i, id)
 		}
-		p.ids[id] = true
+		ids[id] = true
 	}
 	return nil
 }
