Log why a request is refused, an attempt made, a connection closed; tell unknown keys

Requests tell reason=, attempts why=; closes are counted by reason and told one by one at debug level. Log words follow the field's: attempt, replica.

--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -83,10 +83,12 @@
 	Joined       uint64            `json:"joined"` // replicas that have come into the subset
 	Left         uint64            `json:"left"`   // and out of it
 	RefusedLists int64             `json:"refused_lists"`
-	Version      int64             `json:"version"`     // of the list
-	InForce      time.Time         `json:"in_force"`    // since when it has it
-	Connections  int               `json:"connections"` // to replicas, open now
-	Busy         time.Duration     `json:"busy_ns"`     // of the task that decides
+	UnknownKeys  int64             `json:"unknown_keys"` // of the configuration in force
+	Closed       map[string]int64  `json:"closed"`       // clients' connections, by reason
+	Version      int64             `json:"version"`      // of the list
+	InForce      time.Time         `json:"in_force"`     // since when it has it
+	Connections  int               `json:"connections"`  // to replicas, open now
+	Busy         time.Duration     `json:"busy_ns"`      // of the task that decides
 	Reports      ReportAge         `json:"reports"`
 	Traffic      [Purposes]Traffic `json:"traffic"`
 }
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -31,6 +32,8 @@
 	draining  atomic.Bool
 	lingering atomic.Int64 // connections that are being closed
 
+	closedFor [closeReasons]atomic.Int64
+
 	mu    sync.Mutex
 	conns map[*clientConn]struct{}
 	ids   map[string]struct{} // requests in hand
@@ -104,6 +107,32 @@
 	quiet   choice.Micros  // since when none has been, or was before first
 	served  int            // requests answered
 	framing socket.Framing // of all that was read
+	why     closeReason    // what ended it first
+}
+
+// closeReason is why a client's connection ended.
+type closeReason uint8
+
+const (
+	closedAnswered closeReason = iota // behind an answer that was said to be the last, or a request turned away
+	closedByClient                    // its client closed it or it broke
+	closedIdle                        // it rested, or its request did not come, for too long
+	closedForRoom                     // another connection needed its place
+	closedForDrain                    // this gateway drains
+	closeReasons   int         = iota
+)
+
+func (r closeReason) String() string {
+	return [...]string{"answered", "client", "idle", "room", "drain"}[r]
+}
+
+// closedBy counts the connections that were closed, by reason.
+func (c *clients) closedBy() map[string]int64 {
+	out := map[string]int64{}
+	for r := range closeReasons {
+		out[closeReason(r).String()] = c.closedFor[r].Load()
+	}
+	return out
 }
 
 func newClientConn(nc net.Conn, c *clients) (*clientConn, error) {
@@ -135,14 +164,30 @@
 		if c.raw.Control(func(fd uintptr) { n, err, done = c.take(int(fd), p) }) == nil && done {
 			return n, err
 		}
-		c.ended = true
+		c.endFor(closedIdle)
 	}
 	if c.ended {
 		return 0, io.EOF
 	}
+	if errors.Is(wait, os.ErrDeadlineExceeded) {
+		c.noteWhy(closedIdle)
+	}
 	return 0, wait
 }
 
+// endFor has no further byte read. It is called under mu.
+func (c *clientConn) endFor(why closeReason) {
+	c.ended = true
+	c.noteWhy(why)
+}
+
+// noteWhy keeps the first reason that the connection ends for. It is called under mu.
+func (c *clientConn) noteWhy(why closeReason) {
+	if c.why == closedAnswered {
+		c.why = why
+	}
+}
+
 // take reads what has come. It is called under mu; done is false where nothing has.
 func (c *clientConn) take(fd int, p []byte) (n int, err error, done bool) {
 	if c.ended {
@@ -156,9 +201,11 @@
 		return 0, nil, false
 	case err != nil:
 		c.left = true
+		c.noteWhy(closedByClient)
 		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", err)}, true
 	case n == 0:
 		c.left = true
+		c.noteWhy(closedByClient)
 		return 0, io.EOF, true
 	}
 	// The server drops a Content-Length beside a Transfer-Encoding without a
@@ -184,18 +231,18 @@
 func (c *clientConn) end(used bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used == used && c.first == 0 && c.endNow()
+	return c.used == used && c.first == 0 && c.endNow(closedForDrain)
 }
 
 // endNow ends the connection unless something waits to be read. It is called under mu.
-func (c *clientConn) endNow() bool {
+func (c *clientConn) endNow(why closeReason) bool {
 	if c.ended {
 		return true
 	}
 	if memory.Waiting(c.Conn) {
 		return false
 	}
-	c.ended = true
+	c.endFor(why)
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes its task
 	return true
 }
@@ -204,7 +251,7 @@
 // begun and does not go on. One that has come whole is never ended.
 func (c *clientConn) giveWay() bool {
 	c.mu.Lock()
-	won := c.linger || c.framing.Ends <= c.served && c.endNow()
+	won := c.linger || c.framing.Ends <= c.served && c.endNow(closedForRoom)
 	c.mu.Unlock()
 	if won {
 		c.clients.drop(c)
@@ -213,6 +260,18 @@
 	return won
 }
 
+// tellClosed counts a connection that is closed, and tells why: in the log where it is at debug level,
+// for there are as many lines as connections.
+func (c *clients) tellClosed(conn *clientConn) {
+	conn.mu.Lock()
+	why, served, quiet := conn.why, conn.served, conn.quiet
+	conn.mu.Unlock()
+	c.closedFor[why].Add(1)
+	if slog.Default().Enabled(context.Background(), slog.LevelDebug) {
+		slog.Debug("client_closed", "reason", why.String(), "client", conn.RemoteAddr(), "requests", served, "quiet_ms", (c.clock.now()-quiet)/1000)
+	}
+}
+
 // rested notes that a request has been answered. In a drain the connection ends here.
 func (c *clientConn) rested(now choice.Micros) {
 	c.mu.Lock()
@@ -223,7 +282,7 @@
 	if c.first = 0; c.framing.Begun(c.served) {
 		c.first = now
 	} else if c.clients.draining.Load() { // read under mu: drain asks each connection behind it
-		c.endNow()
+		c.endNow(closedForDrain)
 	}
 }
 
@@ -244,6 +303,7 @@
 			c.waitForEnd()
 		}
 		c.clients.drop(c)
+		c.clients.tellClosed(c)
 		err = c.Conn.Close()
 	})
 	return err
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -39,6 +39,7 @@
 	select {
 	case c := <-ask.out:
 		c.RefusedLists, c.Connections = g.refusedLists.Load(), g.pool.Open()
+		c.UnknownKeys, c.Closed = g.unknownKeys.Load(), g.clients.closedBy()
 		for i := range g.meters {
 			c.Traffic[i] = g.meters[i].Read()
 		}
@@ -47,3 +48,6 @@
 		return figures.Control{}, ctx.Err()
 	}
 }
+
+// SetUnknownKeys notes how many keys of the configuration in force the program does not serve.
+func (g *Gateway) SetUnknownKeys(n int) { g.unknownKeys.Store(int64(n)) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,7 @@
 	clients      *clients
 	live         atomic.Pointer[live] // what versions may change, as other tasks than the loop see it
 	refusedLists atomic.Int64         // lists of discovery's that were not taken
+	unknownKeys  atomic.Int64         // keys of the configuration in force that nothing serves
 	rareFull     rare                 // lines that clients can cause at will
 	rareAway     rare
 	ready        atomic.Bool
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -228,8 +228,8 @@
 	l.settle(&e)
 	l.reported(e.d.Worker, &e.report)
 	if e.status != choice.Served {
-		slog.LogAttrs(context.Background(), slog.LevelInfo, "delegation", slog.String("id", r.Name), slog.Int("n", e.d.N),
-			slog.String("worker", e.d.Worker.Instance.ID), slog.String("status", statusWords[e.status]),
+		slog.LogAttrs(context.Background(), slog.LevelInfo, "attempt", slog.String("id", r.Name), slog.Int("n", e.d.N),
+			slog.String("why", e.d.Why), slog.String("replica", e.d.Worker.Instance.ID), slog.String("status", statusWords[e.status]),
 			slog.Int64("elapsed_ms", (l.now-e.d.SentAt)/1000), slog.Bool("streamed", r.Bound == e.d), slog.Bool("reused", e.reused),
 			slog.Int("code", e.code))
 	}
@@ -332,6 +332,7 @@
 	}
 	l.noteReport(to)
 	d := l.requests.Attempt(r, w, l.now, cutAt)
+	d.Why = whyAttempted(r)
 	if !l.charged(d) {
 		return
 	}
@@ -339,7 +340,37 @@
 }
 
 func (l *loop) Refuse(id choice.RequestID, retryAfter choice.Micros) {
-	l.answer(id, memory.Action{Kind: memory.Overload, RetryAfter: retryAfter})
+	l.answer(id, memory.Action{Kind: memory.Overload, RetryAfter: retryAfter, Reason: l.whyRefused(id)})
+}
+
+// whyRefused tells, for the log, what a refusal of the module's comes from.
+func (l *loop) whyRefused(id choice.RequestID) string {
+	r := l.requests.Get(id)
+	switch {
+	case r == nil:
+		return ""
+	case l.now >= r.Deadline-nearDeadline:
+		return "deadline"
+	case l.registry.Ready() == 0:
+		return "no_replica"
+	case len(r.Attempts) > 0:
+		return "attempts_failed"
+	}
+	return "admission"
+}
+
+// nearDeadline is how long before a client's time is over a refusal is put down to it.
+const nearDeadline choice.Micros = 20_000
+
+// whyAttempted tells, for the log, what the newest attempt of a request is.
+func whyAttempted(r *memory.Request) string {
+	switch {
+	case len(r.Attempts) == 1:
+		return "first"
+	case r.Out() > 1:
+		return "hedge"
+	}
+	return "retry"
 }
 
 func (l *loop) Fail(id choice.RequestID) { l.answer(id, memory.Action{Kind: memory.Fail}) }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -167,14 +167,14 @@
 	defer end()
 	req := memory.NewRequest(ctx, job.ID, job.Request, sentAt+job.Wait, max(mostAttempts, g.o.Settings.MaxAttempts))
 	req.Left, req.End = conn.gone, end
-	answer, worker, attempts, first, retryAfter := "left", "", 0, choice.Micros(0), choice.Micros(0)
+	answer, reason, replica, attempts, first, retryAfter := "left", "", "", 0, choice.Micros(0), choice.Micros(0)
 	defer func() {
 		if g.o.Ended != nil {
 			g.o.Ended(live.bad(&job, answer, first))
 		}
 		slog.LogAttrs(context.Background(), slog.LevelInfo, "request", slog.String("id", job.ID), slog.String("class", job.Request.Class),
-			slog.String("key", fmt.Sprintf("%016x", job.Request.Session)), slog.String("answer", answer), slog.Int("delegations", attempts),
-			slog.String("worker", worker), slog.Int64("wait_ms", job.Wait/1000), slog.Int64("first_ms", first/1000),
+			slog.String("key", fmt.Sprintf("%016x", job.Request.Session)), slog.String("answer", answer), slog.String("reason", reason),
+			slog.Int("attempts", attempts), slog.String("replica", replica), slog.Int64("wait_ms", job.Wait/1000), slog.Int64("first_ms", first/1000),
 			slog.Int64("total_ms", (g.clock.now()-sentAt)/1000), slog.Int64("retry_ms", retryAfter/1000))
 	}()
 	g.loop.events <- arrived{req, live, told}
@@ -195,7 +195,7 @@
 			attempts++
 			g.send(r, body, a.Attempt, hand)
 		case memory.PassOn:
-			worker, first = a.Attempt.Worker.Instance.ID, g.clock.now()-sentAt
+			replica, first = a.Attempt.Worker.Instance.ID, g.clock.now()-sentAt
 			whole := passOn(w, a.Attempt, hand)
 			if ctx.Err() != nil || hand.lost() {
 				g.loop.events <- left{req}
@@ -211,15 +211,15 @@
 			}
 			return
 		case memory.Overload:
-			answer, retryAfter = "overload", a.RetryAfter
+			answer, reason, retryAfter = "overload", a.Reason, a.RetryAfter
 			overload(w, a.RetryAfter)
 			return
 		case memory.Contract:
-			answer, retryAfter = "contract", a.RetryAfter
+			answer, reason, retryAfter = "contract", a.Reason, a.RetryAfter
 			notAgreed(w, a.Reason, a.RetryAfter)
 			return
 		case memory.TurnAway:
-			answer = "turned_away"
+			answer, reason = "turned_away", a.Reason
 			g.turnAway(w, badRequest(a.Reason))
 			return
 		case memory.Fail:
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -30,9 +30,13 @@
 	Cores    int
 	MemoryMB int64
 	Gateway  gateway.Options
+
+	Unknown     []UnknownKey // the first of the keys that the program does not serve
+	UnknownKeys int          // and how many there are
+	path        string       // of NODE_CONFIG
 }
 
-// file is the form of NODE_CONFIG. Keys that it does not name are skipped.
+// file is the form of NODE_CONFIG. Keys that it does not name are skipped, and told: see unknownKeys.
 type file struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
@@ -85,14 +89,25 @@
 		return Config{}, err
 	}
 	f.Discovery = cmp.Or(getenv("NODE_DISCOVERY"), f.Discovery)
-	c, err := f.check()
+	c, err := f.whole()
 	if err != nil {
-		return c, placed(f.path, f.text, err)
+		return c, err
 	}
 	c.Handed, err = handed(getenv("NODE_SOCKET_FD"))
 	return c, err
 }
 
+// whole checks the file, and finds what of it is not known.
+func (f *file) whole() (Config, error) {
+	c, err := f.check()
+	if err != nil {
+		return c, placed(f.path, f.text, err)
+	}
+	c.path = f.path
+	c.Unknown, c.UnknownKeys = unknownKeys(f.text)
+	return c, nil
+}
+
 // Reload reads the configuration anew. The file's registry now goes before
 // NODE_DISCOVERY: the file is what was replaced, the variable is as old as the
 // process and names the registry that was left.
@@ -102,8 +117,7 @@
 		return Config{}, err
 	}
 	f.Discovery = cmp.Or(f.Discovery, getenv("NODE_DISCOVERY"))
-	c, err := f.check()
-	return c, placed(f.path, f.text, err)
+	return f.whole()
 }
 
 // GatewayOptions are what a gateway is built with by a platform's configuration and our own settings,
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -190,6 +190,8 @@
 	slog.Info("start", "name", s.c.Gateway.Name, "listen", s.c.Listen, "discovery", s.c.Gateway.Discovery, "cores", s.c.Cores,
 		"heap_mb", s.c.MemoryMB, "client_conns", s.c.Gateway.ClientConns, "worker_conns", s.c.Gateway.WorkerConns,
 		"conf", s.file, "capture", s.conf.Capture.Record, "build", build.Version())
+	s.c.tellUnknown()
+	s.g.SetUnknownKeys(s.c.UnknownKeys)
 	served := make(chan error, 1)
 	go func() { served <- s.g.Serve(ctx, l) }()
 	streamed := make(chan struct{})
@@ -283,6 +285,8 @@
 		return
 	}
 	slog.Info("reload", "discovery", next.Gateway.Discovery, "needs_restart", strings.Join(s.c.differs(next), ","))
+	next.tellUnknown()
+	s.g.SetUnknownKeys(next.UnknownKeys)
 	if next.Gateway.Discovery != s.registry {
 		s.registry = next.Gateway.Discovery
 		s.g.MoveRegistry(s.registry)
--- a/internal/memory/requests.go
+++ b/internal/memory/requests.go
@@ -25,7 +25,7 @@
 	Kind       ActionKind
 	Attempt    *Attempt      // for Begin and PassOn
 	RetryAfter choice.Micros // for Overload and Contract; 0: no advice
-	Reason     string        // for Contract, for machines, and for TurnAway
+	Reason     string        // for Contract, for machines, and for TurnAway; for Overload, for the log
 }
 
 // Request is a client's request while it is owed an answer or has attempts
@@ -60,7 +60,8 @@
 	Events   chan []byte // the stream as it comes; closed at its end
 	Whole    bool        // the stream came to its last chunk; set before Events closes
 	Charge   contract.Charge
-	NeverRan bool // known once it has ended
+	NeverRan bool   // known once it has ended
+	Why      string // first, retry or hedge: for the log
 	ended    bool
 }
 
@@ -89,6 +90,9 @@
 	return r.Ctx.Err() != nil
 }
 
+// Out is how many of its attempts have not ended.
+func (r *Request) Out() int { return r.out }
+
 // Add numbers a request and takes it in.
 func (s *Requests) Add(r *Request) {
 	for s.byID[s.next] != nil {
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -19,6 +19,8 @@
 	replicasDesc    = controlDesc("replicas", "Replicas: listed by discovery, ready, in the gateway's subset, and homes of requests beside it.", "set")
 	movedDesc       = controlDesc("subset_moved_total", "Replicas that have come into the gateway's subset, and out of it.", "way")
 	refusedDesc     = controlDesc("refused_lists_total", "Lists of discovery's that were not taken.")
+	unknownKeysDesc = controlDesc("config_unknown_keys", "Keys of the platform's configuration in force that the program does not serve.")
+	closedDesc      = controlDesc("client_closed_total", "Clients' connections that were closed, by reason.", "reason")
 	versionDesc     = controlDesc("list_version", "The version of the list in force.")
 	connectionsDesc = controlDesc("connections", "Connections to replicas that are open.")
 	busyDesc        = controlDesc("decide_seconds_total", "Time that the task that decides was busy.")
@@ -30,7 +32,7 @@
 )
 
 func (c *controlWork) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{replicasDesc, movedDesc, refusedDesc, versionDesc, connectionsDesc, busyDesc, attemptsDesc,
+	for _, d := range []*prometheus.Desc{replicasDesc, movedDesc, refusedDesc, unknownKeysDesc, closedDesc, versionDesc, connectionsDesc, busyDesc, attemptsDesc,
 		reportAgeDesc, callsDesc, openedDesc, bytesDesc} {
 		ch <- d
 	}
@@ -57,6 +59,10 @@
 	count(movedDesc, float64(of.Joined), "in")
 	count(movedDesc, float64(of.Left), "out")
 	count(refusedDesc, float64(of.RefusedLists))
+	gauge(unknownKeysDesc, float64(of.UnknownKeys))
+	for reason, n := range of.Closed {
+		count(closedDesc, float64(n), reason)
+	}
 	gauge(versionDesc, float64(of.Version))
 	gauge(connectionsDesc, float64(of.Connections))
 	count(busyDesc, of.Busy.Seconds())
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,12 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 
 	"archknot/choice"
 )
 
-// setup is the settings object of BORN. Keys it does not name are skipped.
+// setup is the settings object of BORN. Keys it does not name are skipped here; package lifecycle tells them.
 type setup struct {
 	SelfIndex      int     `json:"selfIndex"`
 	NInstances     int     `json:"nInstances"`
@@ -94,6 +95,9 @@
 	discoveryWords = map[string]bool{"": false, "pushed": false, "on_request": true}
 )
 
+// SettingsType is the form of the settings object, for whoever checks its keys.
+func SettingsType() reflect.Type { return reflect.TypeFor[setup]() }
+
 // ParseSettings reads the settings object of BORN.
 func ParseSettings(text []byte) (choice.Settings, error) {
 	var in setup
