Operators' calls: replicas taken out and put back, the gateway drained, over upgrades

internal/operator answers the five calls, one to a connection, each within 1 s whatever the loop has to do: at most 16 connections, who sends no whole call gives way. internal/maintenance keeps the orders: numbered, not dated, merged between processes, saved whole or not at all under TMPDIR; a predecessor that runs beside hands them on over a socket of its own, so an upgrade keeps them on a disk that cannot be written. An order to take out that could not be saved is in force and is not acknowledged. The loop withholds replicas that are out like those that a version drains, over each list; an attempt that was ordered before is stopped where it would be written, also for the list's own drains. A replica that is put back counts as cold where the list has not told of a start. Requests that come 1.8 s behind a drain or 0.65 s behind SIGTERM are refused, none is left at SIGKILL.

Ruled out: bans in the decision module alone (an attempt under way would pass).

--- a/cmd/archknot/fleet_test.go
+++ b/cmd/archknot/fleet_test.go
@@ -199,7 +199,7 @@
 		p.cmd.Process.Kill()
 		if d.t.Failed() {
 			text, _ := os.ReadFile(p.log)
-			d.t.Logf("log of life at %s:\n%s", p.admin, text[max(0, len(text)-6000):])
+			d.t.Logf("log of life at %s:\n%s", p.admin, tail(text))
 		}
 	})
 	return p
@@ -334,3 +334,15 @@
 	old.ends(d.t)
 	return next
 }
+
+// tail is what tells of a failure in a log: the end, and the requests that were not served.
+func tail(log []byte) string {
+	var out []string
+	lines := strings.Split(string(log), "\n")
+	for i, line := range lines {
+		if i >= len(lines)-15 || !strings.Contains(line, "answer=served") && !strings.Contains(line, "msg=list") && len(out) < 60 {
+			out = append(out, line)
+		}
+	}
+	return strings.Join(out, "\n")
+}
--- a/cmd/archknot/operators_test.go
+++ b/cmd/archknot/operators_test.go
@@ -83,8 +83,9 @@
 	}
 }
 
-// holding is one client's request whose stream is held, after its first event has come.
-func (d *deployment) holding() *client {
+// holding is one client's request whose stream is held, after its first event has come; the rest of it
+// is the result's.
+func (d *deployment) holding() io.Reader {
 	d.t.Helper()
 	c := (&program{addr: d.addr}).dial(d.t)
 	c.send(request(fmt.Sprint("h", requestNumber.Add(1)), "hold"))
@@ -95,7 +96,7 @@
 	if _, err := io.ReadFull(head.Body, make([]byte, len(event))); err != nil {
 		d.t.Fatal(err)
 	}
-	return c
+	return head.Body
 }
 
 // closedBy wants the connection's end within a time.
@@ -150,8 +151,8 @@
 	for _, r := range d.replicas {
 		close(r.release)
 	}
-	if rest, err := io.ReadAll(held.in); err != nil && len(rest) == 0 {
-		t.Errorf("the stream that was held: %v", err)
+	if rest, err := io.ReadAll(held); err != nil || string(rest) != done {
+		t.Errorf("the stream that was held: %q, %v", rest, err)
 	}
 	kept := p.dial(t)
 	for i := range 2 { // connections are kept again
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -74,6 +74,13 @@
 	return a.Sum / time.Duration(a.Known)
 }
 
+// OperatorCalls counts operators' calls of one kind.
+type OperatorCalls struct {
+	Call string `json:"call"`
+	Yes  bool   `json:"yes"` // how they were answered
+	N    int64  `json:"n"`
+}
+
 // Control is a gateway's account of its control work since its start.
 type Control struct {
 	Listed       int               `json:"listed"` // replicas on discovery's list
@@ -83,12 +90,16 @@
 	Joined       uint64            `json:"joined"` // replicas that have come into the subset
 	Left         uint64            `json:"left"`   // and out of it
 	RefusedLists int64             `json:"refused_lists"`
-	UnknownKeys  int64             `json:"unknown_keys"` // of the configuration in force
-	Closed       map[string]int64  `json:"closed"`       // clients' connections, by reason
-	Version      int64             `json:"version"`      // of the list
-	InForce      time.Time         `json:"in_force"`     // since when it has it
-	Connections  int               `json:"connections"`  // to replicas, open now
-	Busy         time.Duration     `json:"busy_ns"`      // of the task that decides
+	UnknownKeys  int64             `json:"unknown_keys"`     // of the configuration in force
+	Closed       map[string]int64  `json:"closed"`           // clients' connections, by reason
+	ReplicasOut  int               `json:"replicas_out"`     // that operators have out
+	Drained      bool              `json:"drained"`          // operators have the gateway drained
+	OrdersLost   bool              `json:"orders_not_saved"` // what operators ordered could not be read or saved at the last try
+	Calls        []OperatorCalls   `json:"operator_calls"`
+	Version      int64             `json:"version"`     // of the list
+	InForce      time.Time         `json:"in_force"`    // since when it has it
+	Connections  int               `json:"connections"` // to replicas, open now
+	Busy         time.Duration     `json:"busy_ns"`     // of the task that decides
 	Reports      ReportAge         `json:"reports"`
 	Traffic      [Purposes]Traffic `json:"traffic"`
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -74,6 +74,10 @@
 	if !hand.mine() || d.Request.Gone() || d.Ctx.Err() != nil {
 		return choice.Cancelled
 	}
+	if !g.admits(d.Worker) { // taken out since it was ordered, while the connection came up
+		keep = true
+		return choice.NotSent
+	}
 	hand.sends()
 	c.SetDeadline(cutAt)
 	if err := c.WriteParts(net.Buffers{socket.JobHead(r, len(body), d.CutAt-g.clock.now()), body}); err != nil {
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -29,8 +29,9 @@
 	spare int          // and so many past them
 	bytes atomic.Int64 // of bodies held
 
-	draining  atomic.Bool
-	lingering atomic.Int64 // connections that are being closed
+	drainedAt  atomic.Int64 // when operators drained the gateway; 0: they have not
+	stoppingAt atomic.Int64 // when the process was told to end; 0: it was not
+	lingering  atomic.Int64 // connections that are being closed
 
 	closedFor [closeReasons]atomic.Int64
 
@@ -281,7 +282,7 @@
 	// Some of the next request may have been read with the one before.
 	if c.first = 0; c.framing.Begun(c.served) {
 		c.first = now
-	} else if c.clients.draining.Load() { // read under mu: drain asks each connection behind it
+	} else if c.clients.ending() { // read under mu: drain asks each connection behind it
 		c.endNow(closedForDrain)
 	}
 }
@@ -404,21 +405,6 @@
 	}
 }
 
-// drain ends what rests; from now on a connection ends once it does.
-func (c *clients) drain() {
-	c.draining.Store(true)
-	for _, conn := range c.all() {
-		conn.end(true)
-	}
-}
-
-// endUnused ends connections on which nothing was ever sent.
-func (c *clients) endUnused() {
-	for _, conn := range c.all() {
-		conn.end(false)
-	}
-}
-
 func (c *clients) all() []*clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/clients_test.go
+++ b/internal/gateway/clients_test.go
@@ -125,7 +125,7 @@
 		"answered with some of the next request read, in a drain": func(t *testing.T, conn *clientConn, c *client) {
 			c.raw(half + rest + "P")
 			read(conn)
-			conn.clients.drain()
+			conn.clients.stop()
 			conn.rested(conn.clients.clock.now())
 			if conn.ended || conn.first == 0 {
 				t.Error("ended under a request that had begun")
@@ -145,7 +145,7 @@
 			conn.used = false
 			c.raw(half + rest)
 			read(conn)
-			conn.clients.drain() // has asked this one already
+			conn.clients.stop() // has asked this one already
 			conn.rested(conn.clients.clock.now())
 			if !conn.ended {
 				t.Error("rests on in the drain")
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -39,6 +39,7 @@
 	select {
 	case c := <-ask.out:
 		c.RefusedLists, c.Connections = g.refusedLists.Load(), g.pool.Open()
+		g.accountOrders(&c)
 		c.UnknownKeys, c.Closed = g.unknownKeys.Load(), g.clients.closedBy()
 		for i := range g.meters {
 			c.Traffic[i] = g.meters[i].Read()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,8 +14,11 @@
 	"archknot/choice"
 	"archknot/internal/contract/ledger"
 	"archknot/internal/figures"
+	"archknot/internal/maintenance"
 	"archknot/internal/memory"
+	"archknot/internal/operator"
 	"archknot/internal/peers"
+	"archknot/internal/sockets"
 	"archknot/internal/subset"
 	"archknot/internal/wire/socket"
 )
@@ -46,11 +49,13 @@
 	CallTimeout    time.Duration // how much longer an answer of the registry may take
 	DrainAccept    time.Duration // how long SIGTERM leaves the listener open
 
-	Subset    subset.Settings // the part of the fleet that it works with
-	Capture   *Capture        // nil: nothing is recorded
-	Contracts *Contracts      // nil: there are none
-	Ledger    *ledger.Store   // of teams' balances; nil: they are not kept
-	Peers     *peers.Service  // nil: gateways do not talk
+	Subset    subset.Settings    // the part of the fleet that it works with
+	Capture   *Capture           // nil: nothing is recorded
+	Contracts *Contracts         // nil: there are none
+	Ledger    *ledger.Store      // of teams' balances; nil: they are not kept
+	Peers     *peers.Service     // nil: gateways do not talk
+	Handed    bool               // the clients' listening socket is shared with other processes of this gateway
+	Orders    *maintenance.Store // of operators; nil: they have no address to call
 
 	Ended func(bad bool) // told of each request that ends: late or not served, or well; nil: nobody
 }
@@ -77,11 +82,15 @@
 	stopped      chan struct{}  // closed once no connection is accepted any more
 	keeper       *ledger.Writer // nil: balances are not kept
 	agreed       atomic.Bool    // there are contracts
+	heard        atomic.Bool    // discovery itself has answered
+	listed       listedIDs
+	ordersNews   chan struct{}
+	calls        operator.Counts
 }
 
 // New returns a gateway, or tells why the module does not take its settings.
 func New(o Options) (*Gateway, error) {
-	g := &Gateway{o: o, clock: newClock(), moves: make(chan string, 1), serving: make(chan struct{}), stopped: make(chan struct{}),
+	g := &Gateway{o: o, clock: newClock(), moves: make(chan string, 1), serving: make(chan struct{}), stopped: make(chan struct{}), ordersNews: make(chan struct{}, 1),
 		pool: memory.NewPool(o.WorkerConns, o.ConnIdle, o.ConnectTimeout)}
 	g.pool.Rest(o.ConnRest)
 	g.registry = caller{memory.NewPool(2, o.ConnIdle, o.CallTimeout), &g.meters[figures.Discovery]}
@@ -104,6 +113,9 @@
 		recordOrder{next: &recording{w: w, o: o.Capture.Recorder}}.apply(g.loop)
 	}
 	g.server = g.newServer()
+	if o.Orders != nil {
+		o.Orders.Follow(g.ordersChanged)
+	}
 	return g, nil
 }
 
@@ -113,14 +125,18 @@
 	go g.watch(ctx)
 	go g.sweep(ctx)
 	go g.bookkeeping(ctx)
+	go g.followOrders(ctx)
 	if g.o.Peers != nil {
 		go g.o.Peers.Run(ctx)
 	}
 	g.listener = l
 	close(g.serving)
-	err := g.server.Serve(g.clients.listen(l))
+	if g.o.Handed {
+		g.awaitReady(ctx)
+	}
+	err := g.server.Serve(g.clients.listen(sockets.Persistent(l)))
 	close(g.stopped)
-	if g.clients.draining.Load() && errors.Is(err, net.ErrClosed) {
+	if g.clients.stoppingAt.Load() > 0 && errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -143,7 +159,7 @@
 // is finished. The server's own Shutdown is not used: it drops requests that have been
 // read, and closes connections under those that are being read.
 func (g *Gateway) Drain(ctx context.Context) error {
-	g.clients.drain()
+	g.clients.stop()
 	<-g.serving
 	wait := func(d time.Duration) {
 		select {
@@ -157,7 +173,7 @@
 	go g.handOver(ctx)
 	// By now a request on a connection that was opened and never used would have come.
 	wait(g.o.DrainAccept / 4)
-	g.clients.endUnused()
+	g.clients.endUnused(0)
 	return g.clients.none(ctx)
 }
 
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -48,11 +48,16 @@
 	later     []event                    // that an order brought about; applied at the end of the turn
 	truth     map[string]socket.Instance // the list as the registry has it, without marks
 	marks     map[string]bool            // workers that a version drains
+	out       map[string]struct{}        // replicas that operators have out
+	outStart  map[string]int64           // when these had started, as listed when they were first seen out
 }
 
 func newLoop(g *Gateway) (*loop, error) {
 	l := &loop{g: g, events: make(chan event, 1024), watches: make(chan struct{}, 1),
-		requests: memory.NewRequests(), registry: memory.NewRegistry(), truth: map[string]socket.Instance{}}
+		requests: memory.NewRequests(), registry: memory.NewRegistry(), truth: map[string]socket.Instance{}, outStart: map[string]int64{}}
+	if g.o.Orders != nil {
+		l.out = g.o.Orders.AllOut()
+	}
 	var err error
 	if l.b, err = choice.New(g.o.Settings, g.o.Seed, l); err != nil {
 		return nil, err
@@ -283,12 +288,15 @@
 
 func (l *loop) list(in socket.List, kind choice.ListKind) {
 	l.take(in, kind, false)
-	l.told = l.told || kind != choice.ListSaved
+	if l.told = l.told || kind != choice.ListSaved; l.told {
+		l.g.heard.Store(true)
+	}
 	l.setReady()
 }
 
 // take enters a list, or what this gateway's own marks change about it.
 func (l *loop) take(in socket.List, kind choice.ListKind, own bool) {
+	l.noteListed(in)
 	in = l.marked(in, kind)
 	out, left := l.registry.Apply(in, kind, l.g.clock.since)
 	if own {
@@ -312,7 +320,7 @@
 // as last held will do: where all gateways come back at once, the registry has no
 // turn for some of them for seconds.
 func (l *loop) setReady() {
-	if l.registry.Ready() > 0 && !l.g.ready.Swap(true) {
+	if (l.registry.Ready() > 0 || l.onlyOut()) && !l.g.ready.Swap(true) {
 		slog.Info("ready", "workers", l.registry.Ready(), "from_registry", l.told)
 	}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -62,7 +62,7 @@
 func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
 func (a *answer) WriteHeader(status int) {
-	if a.conn.clients.draining.Load() && !a.conn.ahead() {
+	if a.conn.clients.ending() && !a.conn.ahead() {
 		a.Header().Set("Connection", "close")
 	}
 	a.headed = true
@@ -106,7 +106,7 @@
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !g.ready.Load() || g.clients.draining.Load() {
+	if !g.ready.Load() || g.clients.ending() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -145,6 +145,10 @@
 		return
 	}
 	job.BodyLen(len(body))
+	if g.clients.refuses() {
+		g.refuseLate(w, &job, live)
+		return
+	}
 	if conn.over || !g.clients.enter(job.ID, live.mostHeld) {
 		if g.clients.open(job.ID) {
 			// A second copy of what is out: the worker would run it twice.
--- a/internal/gateway/version.go
+++ b/internal/gateway/version.go
@@ -129,7 +129,7 @@
 	g.clients.most.Store(int64(e.c.Connections.Clients))
 	// Well below the workers' own limit, as for the files' figure.
 	g.pool.SetLimits(e.c.Connections.Workers, us(s.ConnIdle)*3/4, us(e.c.Connections.ConnectTimeout))
-	l.mark(e.c.Drained())
+	l.withhold(e.c.Drained(), l.out)
 	if had := l.versioned != nil; had || e.c.HasContracts {
 		if l.versioned = nil; e.c.HasContracts {
 			l.versioned = append([]contract.Terms{}, e.c.Contracts...)
@@ -179,7 +179,7 @@
 		} else {
 			l.truth[w.ID] = w
 		}
-		if l.marks[w.ID] && w.State() == choice.MemberReady {
+		if l.withheld(w.ID) && w.State() == choice.MemberReady {
 			w.Lifecycle = "draining"
 		}
 		out.Instances[i] = w
@@ -187,14 +187,24 @@
 	return out
 }
 
-// mark puts other marks in force. The workers that they change are told to the
+// withheld tells whether a replica is to get nothing new whatever the list says, by the version in
+// force or by operators.
+func (l *loop) withheld(id string) bool {
+	_, out := l.out[id]
+	return out || l.marks[id]
+}
+
+// withhold puts other marks and orders in force. The workers that they change are told to the
 // module as the registry would: what drains gets nothing new from this moment on.
-func (l *loop) mark(marks map[string]bool) {
-	old := l.marks
-	l.marks = marks
+func (l *loop) withhold(marks map[string]bool, out map[string]struct{}) {
+	was := map[string]bool{}
+	for name := range l.truth {
+		was[name] = l.withheld(name)
+	}
+	l.marks, l.out = marks, out
 	change := socket.List{Generation: l.registry.Version()}
 	for name, i := range l.truth {
-		if old[name] != marks[name] {
+		if was[name] != l.withheld(name) {
 			change.Instances = append(change.Instances, i)
 		}
 	}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -17,6 +17,7 @@
 	"archknot/choice"
 	"archknot/internal/conf"
 	"archknot/internal/gateway"
+	"archknot/internal/operator"
 	"archknot/internal/wire"
 	"archknot/internal/wire/socket"
 )
@@ -27,6 +28,7 @@
 	// Handed is the descriptor of the clients' listening socket where the platform
 	// holds it and hands it on (NODE_SOCKET_FD); 0: the gateway listens itself.
 	Handed   int
+	Admin    string // where operators call; "": nowhere
 	Cores    int
 	MemoryMB int64
 	Gateway  gateway.Options
@@ -41,6 +43,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Admin     string `json:"admin"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    *float64 `json:"cores"`
@@ -66,7 +69,9 @@
 	// runtime; a part is for connections that are only told that the gateway is
 	// full. Of the rest a client's request takes one, and its attempts one
 	// each, mostly one in all.
-	ownSockets                           = 16
+	ownSockets = 16
+	// Operators' calls need theirs, with a listener, the saved orders and a successor's look at them.
+	operatorSockets                      = operator.Connections + 4
 	clientShare, spareShare, workerShare = 0.44, 0.03, 0.5
 	// Of the memory, what request bodies may take up at once, and where the
 	// garbage collector begins to work harder.
@@ -165,6 +170,7 @@
 	f.path, f.text = path, text
 	f.Name = cmp.Or(getenv("NODE_NAME"), f.Name, "gateway")
 	f.Listen = cmp.Or(getenv("NODE_LISTEN"), f.Listen)
+	f.Admin = cmp.Or(getenv("NODE_ADMIN"), f.Admin)
 	return f, nil
 }
 
@@ -178,6 +184,7 @@
 	}{
 		{"name", c.Gateway.Name == next.Gateway.Name},
 		{"listen", c.Listen == next.Listen},
+		{"admin", c.Admin == next.Admin},
 		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Gateway.ClientConns == next.Gateway.ClientConns},
 		{"settings", reflect.DeepEqual(c.Gateway.Settings, next.Gateway.Settings) && c.Gateway.MostHeld == next.Gateway.MostHeld &&
 			c.Gateway.ConnectTimeout == next.Gateway.ConnectTimeout && c.Gateway.WatchWait == next.Gateway.WatchWait},
@@ -204,6 +211,9 @@
 			return c, fmt.Errorf("%s: expected host:port, got %q", a.key, a.value)
 		}
 	}
+	if _, port, err := net.SplitHostPort(f.Admin); f.Admin != "" && (err != nil || port == "") {
+		return c, wrong("admin", "expected host:port, got %q", f.Admin)
+	}
 	seed, err := strconv.ParseUint(cmp.Or(f.Seed, "1"), 16, 64)
 	if err != nil {
 		return c, fmt.Errorf("seed: expected up to 16 hex digits, got %q", f.Seed)
@@ -220,7 +230,7 @@
 	if err != nil {
 		return c, err
 	}
-	c = Config{Listen: f.Listen, Cores: max(1, int(cores)), MemoryMB: int64(memory * heapShare)}
+	c = Config{Listen: f.Listen, Admin: f.Admin, Cores: max(1, int(cores)), MemoryMB: int64(memory * heapShare)}
 	o := &c.Gateway
 	if len(f.Settings) == 0 {
 		return c, errors.New("settings: missing")
@@ -243,6 +253,9 @@
 	}
 	o.Name, o.Discovery, o.Seed = f.Name, f.Discovery, seed
 	usable := sockets - ownSockets
+	if f.Admin != "" {
+		usable -= operatorSockets
+	}
 	o.ClientConns, o.SpareConns, o.WorkerConns = int(usable*clientShare), int(usable*spareShare), int(usable*workerShare)
 	o.MostHeld = min(extra.Limits.MostHeld, o.ClientConns)
 	o.BodyBytes = int64(memory * bodyShare * (1 << 20))
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,7 +27,9 @@
 	"archknot/internal/control"
 	"archknot/internal/gateway"
 	"archknot/internal/incident"
+	"archknot/internal/maintenance"
 	"archknot/internal/metrics"
+	"archknot/internal/operator"
 	"archknot/internal/peers"
 	"archknot/internal/revision"
 	"archknot/internal/subset"
@@ -164,6 +167,7 @@
 		return BadConfig{err}
 	}
 	defer closeLedger()
+	s.c.Gateway.Handed = s.c.Handed > 0
 	s.c.Gateway.Contracts = contracts(s.conf)
 	s.c.Gateway.Capture = recording(s.c.Gateway.Name, s.conf)
 	s.c.Gateway.Subset = part(s.conf.Subset, &s.c.Gateway.Settings)
@@ -172,6 +176,9 @@
 	if s.c.Gateway.Peers, err = link(s.conf.Peers, s.c.Gateway); err != nil {
 		return err
 	}
+	if s.c.Admin != "" {
+		s.c.Gateway.Orders = maintenance.Open(maintenance.Options{Folder: cmp.Or(getenv("TMPDIR"), os.TempDir()), Name: s.c.Gateway.Name, Listen: s.c.Listen})
+	}
 	if s.g, err = gateway.New(s.c.Gateway); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -190,6 +197,12 @@
 	slog.Info("start", "name", s.c.Gateway.Name, "listen", s.c.Listen, "discovery", s.c.Gateway.Discovery, "cores", s.c.Cores,
 		"heap_mb", s.c.MemoryMB, "client_conns", s.c.Gateway.ClientConns, "worker_conns", s.c.Gateway.WorkerConns,
 		"conf", s.file, "capture", s.conf.Capture.Record, "build", build.Version())
+	if s.c.Admin != "" {
+		following, stopFollowing := context.WithCancel(context.Background())
+		defer stopFollowing()
+		go s.c.Gateway.Orders.Run(following)
+		defer operator.Listen(s.c.Admin, s.g, s.g.OperatorCalls()).Close()
+	}
 	s.c.tellUnknown()
 	s.g.SetUnknownKeys(s.c.UnknownKeys)
 	served := make(chan error, 1)
@@ -229,6 +242,9 @@
 			if s.control != nil {
 				s.control.Close()
 			}
+			if s.c.Gateway.Orders != nil {
+				_ = atTheEnd(s.c.Gateway.Orders.Close) // what cannot be saved was told
+			}
 			if err := atTheEnd(s.g.CloseBooks); err != nil {
 				slog.Error("balances_failed", "err", err)
 			}
--- a/internal/memory/registry.go
+++ b/internal/memory/registry.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"sync/atomic"
 
 	"archknot/choice"
 	"archknot/internal/wire/socket"
@@ -17,6 +18,18 @@
 	ID    choice.ReplicaID
 	Since choice.Micros // its last start on the gateway's clock; 0: long ago
 	out   *int          // own attempts that are out on it; kept while the list changes
+	gate  *atomic.Bool  // closed once this very process may get nothing new; nil: there is none
+}
+
+// Admits tells whether the worker may get new work as of now, also for an attempt that was ordered
+// before the list changed. Any task may ask.
+func (w *Worker) Admits() bool { return w.gate == nil || w.gate.Load() }
+
+// leave says that this very process gets nothing any more.
+func (w *Worker) leave() {
+	if w.gate != nil {
+		w.gate.Store(false)
+	}
 }
 
 // Key stands for this very process at its address: connections kept under it
@@ -98,6 +111,7 @@
 	for id, was := range old {
 		if now := next[id]; now == nil || now.Key() != was.Key() {
 			left = append(left, was.Key())
+			was.leave()
 		}
 	}
 	r.workers = next
@@ -130,9 +144,22 @@
 	if w.out == nil {
 		w.out = new(int)
 	}
+	if was != nil && was.gate != nil && was.Key() == w.Key() {
+		w.gate = was.gate
+	} else {
+		w.gate = new(atomic.Bool)
+	}
+	w.gate.Store(w.State() == choice.MemberReady)
 	return w
 }
 
+// AssumeStart has a worker count as started now, where nothing told of a start.
+func (r *Registry) AssumeStart(name string, now choice.Micros) {
+	if w := r.workers[name]; w != nil {
+		w.Since = now
+	}
+}
+
 // member is the module's form of the worker.
 func (w *Worker) member() choice.Member {
 	return choice.Member{Replica: w.ID, State: w.State(), Weight: w.Weight, Cell: w.Cell, Kind: w.Kind, Zone: w.Zone, Since: w.Since}
@@ -180,6 +207,7 @@
 		now := r.workers[name]
 		if was != nil && (now == nil || now.Key() != was.Key()) {
 			left = append(left, was.Key())
+			was.leave()
 		}
 		if now != nil || was != nil {
 			out.Members = append(out.Members, after[name].member())
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -21,6 +21,10 @@
 	refusedDesc     = controlDesc("refused_lists_total", "Lists of discovery's that were not taken.")
 	unknownKeysDesc = controlDesc("config_unknown_keys", "Keys of the platform's configuration in force that the program does not serve.")
 	closedDesc      = controlDesc("client_closed_total", "Clients' connections that were closed, by reason.", "reason")
+	outDesc         = controlDesc("replicas_out", "Replicas that operators have taken out.")
+	drainedDesc     = controlDesc("drained", "1 while operators have the gateway drained.")
+	unsavedDesc     = controlDesc("orders_not_saved", "1 while what operators ordered cannot be read or saved.")
+	operatorDesc    = controlDesc("operator_calls_total", "Operators' calls, by call and answer.", "call", "answer")
 	versionDesc     = controlDesc("list_version", "The version of the list in force.")
 	connectionsDesc = controlDesc("connections", "Connections to replicas that are open.")
 	busyDesc        = controlDesc("decide_seconds_total", "Time that the task that decides was busy.")
@@ -32,7 +36,7 @@
 )
 
 func (c *controlWork) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{replicasDesc, movedDesc, refusedDesc, unknownKeysDesc, closedDesc, versionDesc, connectionsDesc, busyDesc, attemptsDesc,
+	for _, d := range []*prometheus.Desc{replicasDesc, movedDesc, refusedDesc, unknownKeysDesc, closedDesc, outDesc, drainedDesc, unsavedDesc, operatorDesc, versionDesc, connectionsDesc, busyDesc, attemptsDesc,
 		reportAgeDesc, callsDesc, openedDesc, bytesDesc} {
 		ch <- d
 	}
@@ -63,6 +67,16 @@
 	for reason, n := range of.Closed {
 		count(closedDesc, float64(n), reason)
 	}
+	gauge(outDesc, float64(of.ReplicasOut))
+	gauge(drainedDesc, flag(of.Drained))
+	gauge(unsavedDesc, flag(of.OrdersLost))
+	for _, c := range of.Calls {
+		word := "no"
+		if c.Yes {
+			word = "yes"
+		}
+		count(operatorDesc, float64(c.N), c.Call, word)
+	}
 	gauge(versionDesc, float64(of.Version))
 	gauge(connectionsDesc, float64(of.Connections))
 	count(busyDesc, of.Busy.Seconds())
@@ -77,3 +91,10 @@
 		count(bytesDesc, float64(t.BytesOut), word, "out")
 	}
 }
+
+func flag(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
