One odd entry of a list costs that entry alone

An odd entry is told and counted now; its state holds where it can be read, what was known of its replica otherwise stays, and the others are taken as they stand. Lists whose form is in doubt (a doubled key, a value of over 64 KB, too many entries) are refused as before; a single text of over 64 KB in an entry still costs the list.

--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -90,6 +90,7 @@
 	Joined       uint64            `json:"joined"` // replicas that have come into the subset
 	Left         uint64            `json:"left"`   // and out of it
 	RefusedLists int64             `json:"refused_lists"`
+	OddEntries   int64             `json:"odd_entries"`      // of lists
 	UnknownKeys  int64             `json:"unknown_keys"`     // of the configuration in force
 	Closed       map[string]int64  `json:"closed"`           // clients' connections, by reason
 	ReplicasOut  int               `json:"replicas_out"`     // that operators have out
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -38,7 +38,7 @@
 	g.loop.post(ctx, ask)
 	select {
 	case c := <-ask.out:
-		c.RefusedLists, c.Connections = g.refusedLists.Load(), g.pool.Open()
+		c.RefusedLists, c.OddEntries, c.Connections = g.refusedLists.Load(), g.oddEntries.Load(), g.pool.Open()
 		g.accountOrders(&c)
 		c.UnknownKeys, c.Closed = g.unknownKeys.Load(), g.clients.closedBy()
 		for i := range g.meters {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,9 +73,11 @@
 	clients      *clients
 	live         atomic.Pointer[live] // what versions may change, as other tasks than the loop see it
 	refusedLists atomic.Int64         // lists of discovery's that were not taken
+	oddEntries   atomic.Int64         // entries of lists that could not be taken as they stood
 	unknownKeys  atomic.Int64         // keys of the configuration in force that nothing serves
 	rareFull     rare                 // lines that clients can cause at will
 	rareAway     rare
+	rareOdd      rare
 	ready        atomic.Bool
 	serving      chan struct{} // closed once listener is set
 	listener     net.Listener
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -296,6 +296,7 @@
 
 // take enters a list, or what this gateway's own marks change about it.
 func (l *loop) take(in socket.List, kind choice.ListKind, own bool) {
+	in = l.completed(in)
 	l.noteListed(in)
 	in = l.marked(in, kind)
 	out, left := l.registry.Apply(in, kind, l.g.clock.since)
@@ -314,6 +315,27 @@
 	}
 }
 
+// completed has odd entries of a list complete by what was known of their replicas; those of replicas
+// that were not known are left out.
+func (l *loop) completed(in socket.List) socket.List {
+	if in.OddEntries == 0 {
+		return in
+	}
+	out := in
+	out.Instances = nil
+	for _, i := range in.Instances {
+		if i.Partial {
+			known, ok := l.truth[i.ID]
+			if !ok {
+				continue
+			}
+			i = i.Over(known)
+		}
+		out.Instances = append(out.Instances, i)
+	}
+	return out
+}
+
 var kindWords = map[choice.ListKind]string{choice.ListDelta: "delta", choice.ListFull: "full", choice.ListSaved: "saved"}
 
 // setReady opens the gateway to the front once a worker can be sent to. The list
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -101,6 +101,12 @@
 		list, err = socket.ReadList(body, limits)
 		return err
 	})
+	if list.OddEntries > 0 && err == nil {
+		g.oddEntries.Add(int64(list.OddEntries))
+		for _, odd := range list.Odd {
+			g.rareOdd.log("list_odd_entry", "index", odd.Index, "replica", odd.ID, "reason", odd.Reason, "odd_entries", g.oddEntries.Load())
+		}
+	}
 	var bad *socket.BadList
 	if errors.As(err, &bad) {
 		g.refusedLists.Add(1)
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -19,6 +19,7 @@
 	replicasDesc    = controlDesc("replicas", "Replicas: listed by discovery, ready, in the gateway's subset, and homes of requests beside it.", "set")
 	movedDesc       = controlDesc("subset_moved_total", "Replicas that have come into the gateway's subset, and out of it.", "way")
 	refusedDesc     = controlDesc("refused_lists_total", "Lists of discovery's that were not taken.")
+	oddEntriesDesc  = controlDesc("odd_entries_total", "Entries of discovery's lists that could not be taken as they stood.")
 	unknownKeysDesc = controlDesc("config_unknown_keys", "Keys of the platform's configuration in force that the program does not serve.")
 	closedDesc      = controlDesc("client_closed_total", "Clients' connections that were closed, by reason.", "reason")
 	outDesc         = controlDesc("replicas_out", "Replicas that operators have taken out.")
@@ -36,7 +37,7 @@
 )
 
 func (c *controlWork) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{replicasDesc, movedDesc, refusedDesc, unknownKeysDesc, closedDesc, outDesc, drainedDesc, unsavedDesc, operatorDesc, versionDesc, connectionsDesc, busyDesc, attemptsDesc,
+	for _, d := range []*prometheus.Desc{replicasDesc, movedDesc, refusedDesc, oddEntriesDesc, unknownKeysDesc, closedDesc, outDesc, drainedDesc, unsavedDesc, operatorDesc, versionDesc, connectionsDesc, busyDesc, attemptsDesc,
 		reportAgeDesc, callsDesc, openedDesc, bytesDesc} {
 		ch <- d
 	}
@@ -63,6 +64,7 @@
 	count(movedDesc, float64(of.Joined), "in")
 	count(movedDesc, float64(of.Left), "out")
 	count(refusedDesc, float64(of.RefusedLists))
+	count(oddEntriesDesc, float64(of.OddEntries))
 	gauge(unknownKeysDesc, float64(of.UnknownKeys))
 	for reason, n := range of.Closed {
 		count(closedDesc, float64(n), reason)
--- a/internal/wire/socket/registry.go
+++ b/internal/wire/socket/registry.go
@@ -11,6 +11,9 @@
 	Generation int64      `json:"generation"`
 	Reset      bool       `json:"reset"` // the whole list, not changes
 	Instances  []Instance `json:"instances"`
+
+	Odd        []OddEntry `json:"-"` // the first of its odd entries
+	OddEntries int        `json:"-"` // and how many there are
 }
 
 // Instance is one worker as the registry names it.
@@ -23,15 +26,24 @@
 	Lifecycle   string  `json:"lifecycle"`
 	Weight      float64 `json:"weight"`
 	StartedAtMs int64   `json:"startedAtMs"` // Unix time; 0: long ago
+
+	// Partial says that of an odd entry only the id and the state could be read.
+	Partial bool `json:"-"`
 }
 
+// Words of an entry's state.
+const (
+	ready = "ready"
+	gone  = "gone"
+)
+
 // State is the worker's state. A word that is not known gets nothing new, as
 // one that drains: sending would be the graver mistake.
 func (i Instance) State() choice.MemberState {
 	switch i.Lifecycle {
-	case "ready":
+	case ready:
 		return choice.MemberReady
-	case "gone":
+	case gone:
 		return choice.MemberGone
 	}
 	return choice.MemberDraining
@@ -49,3 +61,12 @@
 	}
 	return fmt.Sprintf("%s?since=%d&timeout_ms=%d", ListPath, since, waitMs)
 }
+
+// Over is what an odd entry makes of the one that was known before: its state holds, unless it says
+// nothing worse of the replica than what was known.
+func (i Instance) Over(known Instance) Instance {
+	if i.Lifecycle != "" && i.Lifecycle != ready {
+		known.Lifecycle = i.Lifecycle
+	}
+	return known
+}
