Steps of the wall clock, failing system calls and disks, logs that nobody reads

Each offset that was seen converts a start, and the latest that is not to come counts (wallclock.go). - http.Server.Serve ended on an accept error that Go does not call temporary (ENOBUFS, EPROTO, EHOSTUNREACH, ...), and one connection's fault ended the listener: internal/sockets outlasts them. - A connect that fails for want of a descriptor, a port or memory here was blamed on the replica and its zone: tried again for a moment, then 'not sent'. - EINTR and ENOMEM in raw reads ended a client's connection. - An address in use, or a configuration that cannot be read for a moment, ended the start: tried for 2 s. - A log pipe that nobody reads held up every task that logs; one whose reader has gone, and a file that may not grow, ended the process (SIGPIPE, SIGXFSZ). - An odd entry of the list as last held refused the start: told, the rest serves. TestBadKeysAreNamed wanted that refusal; its row wants a list in doubt now, and TestOddKnownEntries the entries.

--- a/cmd/archknot/fleet_test.go
+++ b/cmd/archknot/fleet_test.go
@@ -25,6 +25,9 @@
 	release  chan struct{}
 }
 
+// serviceTime is what a replica takes for a request: at once, all clients would be served by one replica.
+const serviceTime = time.Millisecond
+
 // since counts the requests that have come after a time.
 func (r *replica) since(at time.Time) (n int) {
 	r.mu.Lock()
@@ -44,6 +47,7 @@
 	r.mu.Lock()
 	r.got = append(r.got, time.Now())
 	r.mu.Unlock()
+	time.Sleep(serviceTime)
 	w.Header().Set("Content-Type", "text/event-stream")
 	io.WriteString(w, event)
 	w.(http.Flusher).Flush()
@@ -140,6 +144,7 @@
 	addr     string // for clients
 	temp     string // $TMPDIR
 	life     int
+	log      *os.File // where the next lives log, in the place of a file
 }
 
 func newDeployment(t *testing.T, replicas int) *deployment {
@@ -191,6 +196,9 @@
 	p.cmd.Env = append(p.cmd.Env, env...)
 	p.cmd.ExtraFiles = []*os.File{d.socket}
 	p.cmd.Stderr = log
+	if d.log != nil {
+		p.cmd.Stderr = d.log
+	}
 	if err := p.cmd.Start(); err != nil {
 		d.t.Fatal(err)
 	}
@@ -273,7 +281,9 @@
 // one sends a request and returns the connection, if it stays open. A close that crosses a request
 // on a kept connection has the client send it once more on a new one.
 func (f *traffic) one(d *deployment, c *client) *client {
-	text := request(fmt.Sprint("t", requestNumber.Add(1)), "-")
+	n := requestNumber.Add(1)
+	text := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Kind: chat\r\nReq-Id: t%d\r\nReq-Key: %016x\r\n"+
+		"Req-Extra: prompt_len=400,max_out=100\r\nContent-Length: 0\r\n\r\n", n, uint64(n)*0x9e3779b97f4a7c15)
 	for try := 0; try < 2; try++ {
 		kept := c != nil
 		if !kept {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -140,6 +140,7 @@
 
 func (c *serveCmd) Run(s *streams) error {
 	lifecycle.StartLog()
+	defer lifecycle.EndLog()
 	err := lifecycle.Run(s.getenv, c.Config)
 	var bad lifecycle.BadConfig
 	if err != nil && !errors.As(err, &bad) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,8 +52,11 @@
 	defer stop()
 	c, err := g.pool.Get(ctx, d.Worker.Key(), d.Worker.Addr)
 	if err != nil {
-		if d.Ctx.Err() != nil {
+		switch {
+		case d.Ctx.Err() != nil:
 			return choice.Cancelled
+		case errors.Is(err, memory.ErrShortage):
+			return choice.NotSent // no replica is at fault
 		}
 		return choice.ConnectFailed
 	}
--- a/internal/gateway/clients.go
+++ b/internal/gateway/clients.go
@@ -194,9 +194,7 @@
 	if c.ended {
 		return 0, io.EOF, true
 	}
-	for n, err = syscall.Read(fd, p); err == syscall.EINTR; {
-		n, err = syscall.Read(fd, p)
-	}
+	n, err = readOnce(fd, p)
 	switch {
 	case err == syscall.EAGAIN:
 		return 0, nil, false
@@ -222,6 +220,25 @@
 	return n, nil, true
 }
 
+// shortOfMemory is how often a read is tried that fails for want of memory, and shortPause the pause.
+const shortOfMemory, shortPause = 20, time.Millisecond
+
+// readOnce reads what has come. A signal, or memory that the system lacks for a moment, says nothing of
+// the connection.
+func readOnce(fd int, p []byte) (n int, err error) {
+	for short := 0; ; {
+		n, err = syscall.Read(fd, p)
+		switch {
+		case err == syscall.EINTR:
+		case (err == syscall.ENOMEM || err == syscall.ENOBUFS) && short < shortOfMemory:
+			short++
+			time.Sleep(shortPause)
+		default:
+			return n, err
+		}
+	}
+}
+
 func (c *clientConn) Write(p []byte) (int, error) {
 	c.wrote.Store(c.clients.clock.now())
 	return c.Conn.Write(p)
@@ -447,13 +464,8 @@
 // busy, the new one is told that the gateway is full.
 func (l *listener) Accept() (net.Conn, error) {
 	c := l.clients
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	conn, err := newClientConn(nc, c)
+	conn, err := l.next()
 	if err != nil {
-		nc.Close()
 		return nil, err
 	}
 	for c.count() >= int(c.most.Load()) && !conn.over {
@@ -473,6 +485,22 @@
 	return conn, nil
 }
 
+// next is the next connection that can be used. The fault of one ends that one alone.
+func (l *listener) next() (*clientConn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn, err := newClientConn(nc, l.clients)
+		if err == nil {
+			return conn, nil
+		}
+		slog.Debug("client_unusable", "err", err)
+		nc.Close()
+	}
+}
+
 func (c *clients) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,6 +186,7 @@
 	for {
 		select {
 		case <-t.C:
+			g.clock.wall.look(g.clock.now())
 			g.pool.Sweep()
 		case <-ctx.Done():
 			return
@@ -199,11 +200,12 @@
 type clock struct {
 	start time.Time
 	base  choice.Micros
+	wall  *wallClock
 }
 
 func newClock() clock {
 	now := time.Now()
-	return clock{start: now, base: now.UnixMicro()}
+	return clock{start: now, base: now.UnixMicro(), wall: &wallClock{read: func() choice.Micros { return time.Now().UnixMicro() }}}
 }
 
 func (c clock) now() choice.Micros { return c.base + time.Since(c.start).Microseconds() }
@@ -213,7 +215,5 @@
 	return c.start.Add(time.Duration(us-c.base) * time.Microsecond)
 }
 
-// since converts Unix milliseconds.
-func (c clock) since(unixMs int64) choice.Micros {
-	return max(1, c.now()-(time.Now().UnixMicro()-unixMs*1000))
-}
+// since converts Unix milliseconds, the time of a start that is over.
+func (c clock) since(unixMs int64) choice.Micros { return c.wall.since(c.now(), unixMs*1000) }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -39,6 +39,8 @@
 		return nil
 	})
 	switch {
+	case errors.Is(err, memory.ErrShortage):
+		e.status = choice.NotSent // it was not asked
 	case errors.Is(err, errConnect):
 		e.status = choice.ConnectFailed
 	case err != nil:
--- /dev/null
+++ b/internal/gateway/wallclock_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"testing"
+
+	"archknot/choice"
+	"archknot/internal/wire/socket"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	secondUs choice.Micros = 1_000_000
+	hourUs                 = 3600 * secondUs
+)
+
+// A replica's start comes out right over steps of the wall clock, forth and back, by seconds or an
+// hour, whether it was taken down before the step or after it: a cold replica never seems old, nor an
+// old one to come.
+func TestStartsOverStepsOfTheClock(t *testing.T) {
+	const began = 1_700_000_000 * secondUs
+	for _, step := range []choice.Micros{hourUs, -hourUs, 5 * secondUs, -5 * secondUs, 400_000, -400_000} {
+		own, stepped := began, choice.Micros(0)
+		w := &wallClock{read: func() choice.Micros { return own + stepped }}
+		w.look(own)
+		own += 60 * secondUs
+		before := own - 3*secondUs // started 3 s before the step, and dated then
+		dated := before
+		stepped = step
+		own += 2 * secondUs
+		younger := choice.Micros(0) // a step by less than the replica's age leaves in doubt which side of it the start was
+		if -step > 0 && -step <= own-before+startSlack {
+			younger = -step
+		}
+		if got := w.since(own, dated); got < before || got > before+younger {
+			t.Errorf("step %d ms: a start before it comes out %d ms off", step/1000, (got-before)/1000)
+		}
+		after := own - secondUs // started behind the step, and dated by the new time
+		if younger = 0; step > 0 && step <= own-after+startSlack {
+			younger = step
+		}
+		if got := w.since(own, after+stepped); got < after || got > after+younger {
+			t.Errorf("step %d ms: a start behind it comes out %d ms off", step/1000, (got-after)/1000)
+		}
+		if got := w.since(own, own+stepped+10*hourUs); got != own {
+			t.Errorf("a start that is to come: %d ms off", (got-own)/1000)
+		}
+	}
+}
+
+// Whatever steps the clock takes, while the gateway follows it each second, a replica that has just
+// started comes out as old as it is or younger, and never to come.
+func TestNoColdReplicaSeemsOld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		own, stepped := 1_700_000_000*secondUs, choice.Micros(0)
+		w := &wallClock{read: func() choice.Micros { return own + stepped }}
+		w.look(own)
+		for range rapid.IntRange(1, mostOffsets-1).Draw(t, "steps") {
+			started, dated := own, own+stepped
+			own += rapid.Int64Range(0, 20).Draw(t, "wait") * secondUs
+			stepped += rapid.Int64Range(-hourUs, hourUs).Draw(t, "step")
+			w.look(own)
+			own += rapid.Int64Range(0, 5).Draw(t, "told after") * secondUs
+			if got := w.since(own, dated); got < started-stepFrom || got > own {
+				t.Fatalf("started %d ms ago, taken for %d", (own-started)/1000, (own-got)/1000)
+			}
+		}
+	})
+}
+
+// A step changes nothing about replicas that are known: each start is converted once.
+func TestAKnownStartStays(t *testing.T) {
+	g, err := New(options())
+	if err != nil {
+		t.Fatal(err)
+	}
+	offset := choice.Micros(0)
+	g.clock.wall.read = func() choice.Micros { return g.clock.now() + offset }
+	l := g.loop
+	list := socket.List{Reset: true, Instances: []socket.Instance{{ID: "s-1", Addr: "127.0.0.1:1", Zone: "a", Kind: "k", Lifecycle: "ready",
+		StartedAtMs: (g.clock.now() - secondUs) / 1000}}}
+	l.now = g.clock.now()
+	l.list(list, choice.ListFull)
+	was := *l.registry.Named("s-1")
+	offset = -hourUs
+	l.list(list, choice.ListFull)
+	if now := l.registry.Named("s-1"); now.Since != was.Since {
+		t.Errorf("its start moved by %d ms", (now.Since-was.Since)/1000)
+	}
+}
--- a/internal/lifecycle/config.go
+++ b/internal/lifecycle/config.go
@@ -160,8 +160,8 @@
 	if path == "" {
 		return f, errors.New("NODE_CONFIG: not set; expected the path of the configuration")
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
+	var text []byte
+	if err := patiently(func() (err error) { text, err = os.ReadFile(path); return err }); err != nil {
 		return f, fmt.Errorf("NODE_CONFIG: %v", err)
 	}
 	if err := json.Unmarshal(text, &f); err != nil {
--- a/internal/lifecycle/config_test.go
+++ b/internal/lifecycle/config_test.go
@@ -99,7 +99,8 @@
 		{`"memory_mb":192`, `"memory_mb":8`, "limits.memory_mb"},
 		{`"sockets":1024`, `"sockets":"many"`, "limits.sockets"},
 		{`"sockets":1024`, `"sockets":10`, "limits.sockets"},
-		{`"hostPort":"127.0.0.1:9001",`, ``, "known"},
+		{`{"generation":0,"reset":true,`, `{"generation":0,"generation":1,"reset":true,`, "known"},
+		{`"listen":"127.0.0.1:0",`, `"listen":"127.0.0.1:0","admin":"here",`, "config.json:1:45: admin"},
 		{`"nInstances":1`, `"nInstances":0`, "settings.nInstances"},
 		{`"maxAttempts":3`, `"maxAttempts":0`, "settings.limits.maxAttempts"},
 		{`"deadlineUs":3000000`, `"deadlineUs":0`, "settings.requestClasses[0]"},
@@ -119,6 +120,35 @@
 	}
 }
 
+// An odd entry of the list as last held keeps no gateway from starting: it is told, and the others serve.
+func TestOddKnownEntries(t *testing.T) {
+	text := strings.Replace(good, `"instances":[`, `"instances":[{"instanceId":"s-0","zone":"a","lifecycle":"ready"},7,`, 1)
+	c, err := load(t, text, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := c.Gateway.Known
+	if len(known.Instances) != 2 || known.OddEntries != 2 || !known.Instances[0].Partial || known.Instances[1].ID != "s-1" {
+		t.Errorf("%+v", known)
+	}
+}
+
+// Operators' address is the environment's before the file's, and takes descriptors of its own.
+func TestAdmin(t *testing.T) {
+	text := strings.Replace(good, `"name"`, `"admin":"127.0.0.1:15000","name"`, 1)
+	with, err := load(t, text, nil)
+	if err != nil || with.Admin != "127.0.0.1:15000" {
+		t.Fatal(with.Admin, err)
+	}
+	if c, err := load(t, text, map[string]string{"NODE_ADMIN": "127.0.0.2:15001"}); err != nil || c.Admin != "127.0.0.2:15001" {
+		t.Error(c.Admin, err)
+	}
+	without, err := load(t, good, nil)
+	if err != nil || without.Admin != "" || with.Gateway.ClientConns+with.Gateway.WorkerConns > without.Gateway.ClientConns+without.Gateway.WorkerConns-operatorSockets/2 {
+		t.Errorf("connections with %d and %d, without %d and %d", with.Gateway.ClientConns, with.Gateway.WorkerConns, without.Gateway.ClientConns, without.Gateway.WorkerConns)
+	}
+}
+
 // On a reload the file's registry counts: NODE_DISCOVERY still names the one
 // that was left. A bad file is told by its key and used for nothing.
 func TestReload(t *testing.T) {
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"archknot/choice"
+	"archknot/internal/asynclog"
 	"archknot/internal/build"
 	"archknot/internal/capture"
 	"archknot/internal/conf"
@@ -44,13 +45,26 @@
 // dropAfter is when starting up is over.
 const dropAfter = 1500 * time.Millisecond
 
-var level slog.LevelVar
+var (
+	level slog.LevelVar
+	lines *asynclog.Writer
+)
+
+// flushWithin bounds how long the end waits for the log's reader.
+const flushWithin = 500 * time.Millisecond
 
-// StartLog has what is logged go to standard error as key=value text.
+// StartLog has what is logged go to standard error as key=value text. Whatever becomes of its reader,
+// the gateway goes on: a pipe that nobody reads holds nobody up, and one that was closed, or a file
+// that may not grow, ends no process.
 func StartLog() {
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: &level})))
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGXFSZ)
+	lines = asynclog.New(os.Stderr)
+	slog.SetDefault(slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: &level})))
 }
 
+// EndLog waits for what was logged to be written.
+func EndLog() { lines.Flush(flushWithin) }
+
 func setLevel(word string) { _ = level.UnmarshalText([]byte(word)) } // conf lets in no other words
 
 // recording makes the gateway's part of the settings; nil: nothing is recorded.
@@ -188,8 +202,8 @@
 	if err := s.listenMetrics(); err != nil {
 		return err
 	}
-	l, err := listen(s.c)
-	if err != nil {
+	var l net.Listener
+	if err := patiently(func() (err error) { l, err = listen(s.c); return err }); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/lifecycle/unknown.go
+++ b/internal/lifecycle/unknown.go
@@ -176,6 +176,9 @@
 	for _, u := range c.Unknown {
 		slog.Warn("config_unknown_key", "key", u.Key, "file", c.path, "line", u.Line, "column", u.Column)
 	}
+	for _, odd := range c.Gateway.Known.Odd {
+		slog.Warn("list_odd_entry", "list", "known", "index", odd.Index, "replica", odd.ID, "reason", odd.Reason, "odd_entries", c.Gateway.Known.OddEntries)
+	}
 	if c.UnknownKeys > len(c.Unknown) {
 		slog.Warn("config_unknown_keys", "all", c.UnknownKeys, "told", len(c.Unknown))
 	}
--- a/internal/memory/pool.go
+++ b/internal/memory/pool.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
@@ -14,11 +15,18 @@
 	"golang.org/x/sys/unix"
 
 	"archknot/internal/figures"
+	"archknot/internal/sockets"
 )
 
 // ErrFull says that the gateway may open no further connection.
 var ErrFull = errors.New("no socket left for a further connection")
 
+// ErrShortage says that this machine could not open a connection: the other side was never asked.
+var ErrShortage = errors.New("no connection for want of something on this machine")
+
+// A dial that fails for a shortage on this machine is tried again for a moment.
+const shortageTries, shortagePause = 4, 5 * time.Millisecond
+
 // Conn is a connection to a worker or to the registry. One request at a time
 // goes over it.
 type Conn struct {
@@ -76,7 +84,7 @@
 	p.mu.Lock()
 	dial := p.dial
 	p.mu.Unlock()
-	nc, err := dial.DialContext(ctx, "tcp", addr)
+	nc, err := connect(ctx, &dial, addr)
 	if err != nil {
 		p.release()
 		return nil, err
@@ -86,6 +94,23 @@
 	return c, nil
 }
 
+// connect opens a connection.
+func connect(ctx context.Context, dial *net.Dialer, addr string) (net.Conn, error) {
+	for try := 1; ; try++ {
+		nc, err := dial.DialContext(ctx, "tcp", addr)
+		if err == nil || !sockets.Shortage(err) {
+			return nc, err
+		}
+		if try == shortageTries || ctx.Err() != nil {
+			return nil, fmt.Errorf("%w: %w", ErrShortage, err)
+		}
+		select {
+		case <-time.After(shortagePause << (try - 1)):
+		case <-ctx.Done():
+		}
+	}
+}
+
 // Carry has a connection that Get returned counted for a purpose.
 func (c *Conn) Carry(m *figures.Meter) {
 	c.meter = m
@@ -181,8 +206,11 @@
 // Peek looks at what can be read from a descriptor now, and leaves it unread.
 func Peek(fd int) (n int, err error) {
 	var b [1]byte
-	n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
+	for {
+		if n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err != syscall.EINTR {
+			return n, err
+		}
+	}
 }
 
 // onDescriptor calls f with a connection's descriptor; one that has none says nothing, as EAGAIN.
