Orders that come before discovery has answered are proved by its first list

An order that came while no list had been heard was kept as if the replica were known, and the next call found it known. Such orders are held apart now (64 at most), in force and not acknowledged, and are kept or forgotten with the first list. Tests: TestOrdersBeforeDiscoveryAnswers; also new: TestWithdrawnBeforeTheWrite, TestShortages; TestAddressInUseForAMoment waits for the program's own word, since it passed without the mend.

--- a/cmd/archknot/faults_test.go
+++ b/cmd/archknot/faults_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -111,6 +112,33 @@
 	f.end()
 }
 
+// Before discovery has answered nobody can tell which replicas there are: an order is in force and not
+// acknowledged. Once it has, the order holds for a replica that is listed, and is forgotten for one that is not.
+func TestOrdersBeforeDiscoveryAnswers(t *testing.T) {
+	d := newDeployment(t, 3)
+	d.registry.hush(true)
+	p := d.start()
+	until(t, "it answers operators", func() bool { return p.call(http.MethodGet, "/-/ready") != 0 })
+	for _, id := range []string{"s-1", "s-none"} {
+		if status := p.call(http.MethodPut, "/-/replicas/"+id+"/disable"); !no(status) {
+			t.Errorf("%s before discovery has answered: status %d, want no", id, status)
+		}
+	}
+	d.registry.hush(false)
+	d.ready(p)
+	f := d.traffic(3)
+	d.quiet(d.replicas[0], f, "ordered before discovery answered")
+	d.wants(p, http.MethodPut, "/-/replicas/s-1/disable")
+	if status := p.call(http.MethodPut, "/-/replicas/s-none/disable"); !no(status) {
+		t.Errorf("never listed: status %d, want no", status)
+	}
+	d.wants(p, http.MethodPut, "/-/replicas/s-1/enable")
+	d.used(d.replicas[0], "put back")
+	f.end()
+	p.signal(t, syscall.SIGTERM)
+	p.ends(t)
+}
+
 // A log that nobody reads holds up no request, and one whose reader has gone ends no process.
 func TestNobodyReadsTheLog(t *testing.T) {
 	d := newDeployment(t, 2)
@@ -154,14 +182,20 @@
 	next := &program{addr: p.addr, exited: make(chan error, 1)}
 	next.cmd = exec.Command(os.Args[0])
 	next.cmd.Env = append(os.Environ(), "ARCHKNOT_TEST_PROGRAM=1", path)
+	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer log.Close()
+	next.cmd.Stderr = log
 	if err := next.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { next.cmd.Process.Kill() })
 	go func() { next.exited <- next.cmd.Wait() }()
 	until(t, "it waits for the address", func() bool {
-		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/wchan", next.cmd.Process.Pid))
-		return err != nil || len(text) > 0
+		text, _ := os.ReadFile(log.Name())
+		return strings.Contains(string(text), "msg=trying_again")
 	})
 	p.cmd.Process.Kill()
 	<-p.exited
--- a/cmd/archknot/fleet_test.go
+++ b/cmd/archknot/fleet_test.go
@@ -76,6 +76,7 @@
 	order   []string
 	changes []string // the id that each version changed, from version 2 on
 	asked   int      // the newest version that a watch was told to go on from
+	hushed  bool     // it answers nothing
 	news    chan struct{}
 }
 
@@ -103,6 +104,13 @@
 	d.news = make(chan struct{})
 }
 
+// hush has it answer nothing, or answer again.
+func (d *registry) hush(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hushed = on
+}
+
 // taken tells whether the gateway has taken all changes: it asks for what comes behind them.
 func (d *registry) taken() bool {
 	d.mu.Lock()
@@ -116,6 +124,11 @@
 	watch, _ := fmt.Sscan(r.URL.Query().Get("since"), &since)
 	for end := time.After(wait); ; {
 		d.mu.Lock()
+		if d.hushed {
+			d.mu.Unlock()
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
 		news, version := d.news, len(d.changes)+1
 		d.asked = max(d.asked, since)
 		var list []string
--- a/internal/drill/soak_test.go
+++ b/internal/drill/soak_test.go
@@ -75,7 +75,7 @@
 var mutants = []mutant{
 	{"bans are forgotten", "drain", 2, []change{
 		{"internal/gateway/version.go", "return out || l.marks[id]", "_ = out; return l.marks[id]"},
-		{"internal/gateway/orders.go", "return w.Admits() && (g.o.Orders == nil || !g.o.Orders.Out(w.Instance.ID))", "return w.Admits()"}}},
+		{"internal/gateway/orders.go", "return w.Admits() && (g.o.Orders == nil || !g.o.Orders.Out(id) && !g.unproven.has(id))", "_ = id; return w.Admits()"}}},
 	{"a drained gateway keeps its clients", "drained", 2, []change{
 		{"internal/gateway/service.go", "return c.drainedAt.Load() > 0 || c.stoppingAt.Load() > 0", "return c.stoppingAt.Load() > 0"}}},
 	{"SIGTERM drops what is in hand", "lost", 7, []change{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,7 @@
 	agreed       atomic.Bool    // there are contracts
 	heard        atomic.Bool    // discovery itself has answered
 	listed       listedIDs
+	unproven     unproven
 	ordersNews   chan struct{}
 	calls        operator.Counts
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -288,8 +288,12 @@
 
 func (l *loop) list(in socket.List, kind choice.ListKind) {
 	l.take(in, kind, false)
-	if l.told = l.told || kind != choice.ListSaved; l.told {
+	if kind != choice.ListSaved && !l.told {
+		l.told = true
 		l.g.heard.Store(true)
+		if l.g.o.Orders != nil {
+			go l.g.prove()
+		}
 	}
 	l.setReady()
 }
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,21 +30,92 @@
 
 // TakeOut has a replica get nothing new from now on, whatever the list says of it, until PutBack.
 func (g *Gateway) TakeOut(ctx context.Context, id string) error {
-	listed := g.wasListed(ctx, id)
-	if !listed && g.heard.Load() {
+	if g.wasListed(ctx, id) {
+		return g.o.Orders.SetOut(ctx, id, true)
+	}
+	if g.heard.Load() || !g.unproven.add(id) {
 		return operator.ErrUnknownReplica
 	}
-	if err := g.o.Orders.SetOut(ctx, id, true); err != nil {
-		return err
+	g.ordersChanged()
+	if g.heard.Load() { // discovery has answered just now, and may have passed it by
+		g.prove()
+	}
+	return operator.ErrNotHeard
+}
+
+// prove has the orders that came before discovery had answered in force for good, or forgets them where
+// no such replica is listed.
+func (g *Gateway) prove() {
+	for _, id := range g.unproven.all() {
+		if g.listed.has(id) {
+			ctx, stop := context.WithTimeout(context.Background(), time.Second)
+			_ = g.o.Orders.SetOut(ctx, id, true) // a failure to save is told where it is noted
+			stop()
+		}
+		g.unproven.remove(id)
+	}
+	g.ordersChanged()
+}
+
+// allOut are the replicas that are to get nothing by operators' orders.
+func (g *Gateway) allOut() map[string]struct{} {
+	ordered, unproven := g.o.Orders.AllOut(), g.unproven.all()
+	if len(unproven) == 0 {
+		return ordered
+	}
+	out := maps.Clone(ordered)
+	for _, id := range unproven {
+		out[id] = struct{}{}
+	}
+	return out
+}
+
+// mostUnproven bounds the orders that wait for discovery's first answer.
+const mostUnproven = 64
+
+// unproven are replicas that operators took out before discovery had answered: whether there are such
+// replicas is not known yet.
+type unproven struct {
+	mu  sync.Mutex
+	ids map[string]struct{}
+}
+
+// add tells whether there was room for it.
+func (u *unproven) add(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.ids == nil {
+		u.ids = map[string]struct{}{}
 	}
-	if !listed { // in force, in case it is listed: nobody can tell yet
-		return fmt.Errorf("%w, as far as is known: discovery has not answered yet", operator.ErrUnknownReplica)
+	if len(u.ids) >= mostUnproven {
+		return false
 	}
-	return nil
+	u.ids[id] = struct{}{}
+	return true
+}
+
+func (u *unproven) remove(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.ids, id)
+}
+
+func (u *unproven) has(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, ok := u.ids[id]
+	return ok
+}
+
+func (u *unproven) all() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Collect(maps.Keys(u.ids))
 }
 
 // PutBack ends that. It holds in this process in any case: one call is enough.
 func (g *Gateway) PutBack(ctx context.Context, id string) error {
+	g.unproven.remove(id)
 	if !g.wasListed(ctx, id) {
 		return operator.ErrUnknownReplica
 	}
@@ -98,7 +170,7 @@
 	for {
 		select {
 		case <-g.ordersNews:
-			g.loop.post(ctx, outChanged{g.o.Orders.AllOut()})
+			g.loop.post(ctx, outChanged{g.allOut()})
 			if away.Stop(); g.clients.drainedAt.Load() > 0 {
 				away.Reset(awayEach)
 			}
@@ -114,7 +186,8 @@
 
 // admits tells whether a replica may get new work as of now, for an attempt that is about to be written.
 func (g *Gateway) admits(w *memory.Worker) bool {
-	return w.Admits() && (g.o.Orders == nil || !g.o.Orders.Out(w.Instance.ID))
+	id := w.Instance.ID
+	return w.Admits() && (g.o.Orders == nil || !g.o.Orders.Out(id) && !g.unproven.has(id))
 }
 
 // outChanged says which replicas operators have out.
--- a/internal/lifecycle/patience.go
+++ b/internal/lifecycle/patience.go
@@ -1,6 +1,7 @@
 package lifecycle
 
 import (
+	"log/slog"
 	"time"
 
 	"archknot/internal/sockets"
@@ -11,10 +12,15 @@
 
 // patiently tries something until it goes well, or fails for a reason that does not pass by itself.
 func patiently(try func() error) error {
+	told := false
 	for end := time.Now().Add(patience); ; time.Sleep(patientEach) {
 		err := try()
 		if err == nil || !sockets.Passing(err) || time.Now().After(end) {
 			return err
 		}
+		if !told {
+			told = true
+			slog.Warn("trying_again", "err", err, "for", patience)
+		}
 	}
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -40,6 +40,9 @@
 var (
 	ErrUnknownReplica = errors.New("this replica was never listed")
 	ErrStopping       = errors.New("this process ends")
+	// ErrNotHeard says that discovery has not answered this process yet, so that nobody can tell whether
+	// there is such a replica. It gets nothing in case it is listed.
+	ErrNotHeard = errors.New("held out, but discovery has not answered yet")
 )
 
 // Gateway is what the calls are about.
