--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -32,11 +33,41 @@
 	Program  string `placeholder:"FILE" help:"Another build that is started in the place of this one."`
 	Variant  string `help:"Which of the plan's, if not the first."`
 	Workload string `help:"Which, if not the first."`
-	Seed     uint64 `default:"1" help:"The first seed."`
-	Seeds    int    `default:"1" help:"How many drills, each with the next seed."`
-	Jobs     int    `default:"1" help:"Drills at once."`
-	Logs     string `placeholder:"DIR" help:"Where configurations and logs are left; without it they are removed."`
 	JSON     bool   `name:"json" help:"Print JSON, a line for each drill and one for all."`
+	seedFlags
+}
+
+// seedFlags say which seeds a drill is carried out with.
+type seedFlags struct {
+	Seed  uint64 `default:"1" help:"The first seed: the same one draws the same."`
+	Seeds int    `default:"1" help:"How many drills, each with the next seed."`
+	Jobs  int    `default:"1" help:"Drills at once."`
+	Logs  string `placeholder:"DIR" help:"Where configurations and logs are left; without it they are removed."`
+}
+
+// each carries a drill out with each seed, so many at once, until one cannot be or the user ends it.
+func (f *seedFlags) each(do func(ctx context.Context, seed uint64, o drill.Options) error) error {
+	if f.Seeds < 1 || f.Jobs < 1 {
+		return errors.New("--seeds, --jobs: expected 1 or more")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(f.Jobs)
+	for i := range f.Seeds {
+		group.Go(func() error {
+			seed := f.Seed + uint64(i)
+			o := drill.Options{}
+			if f.Logs != "" {
+				o.Dir = filepath.Join(f.Logs, fmt.Sprint(seed))
+			}
+			if err := do(ctx, seed, o); err != nil {
+				return fmt.Errorf("seed %d: %w", seed, err)
+			}
+			return nil
+		})
+	}
+	return group.Wait()
 }
 
 func (drillRunCmd) Help() string {
@@ -66,44 +97,28 @@
 	if err != nil {
 		return err
 	}
-	if c.Seeds < 1 || c.Jobs < 1 {
-		return errors.New("--seeds, --jobs: expected 1 or more")
-	}
-	program := c.Program
-	if program == "" {
-		program = v.Build
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	bar := countBar(s, c.Seeds)
 	var mu sync.Mutex
 	var all []*drill.Result
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(c.Jobs)
-	for i := range c.Seeds {
-		group.Go(func() error {
-			spec, err := p.Spec(v, w, c.Seed+uint64(i))
-			if err != nil {
-				return err
-			}
-			o := drill.Options{Program: program}
-			if c.Logs != "" {
-				o.Dir = filepath.Join(c.Logs, fmt.Sprint(spec.Seed))
-			}
-			r, err := drill.Run(ctx, spec, o)
-			if err != nil {
-				return fmt.Errorf("seed %d: %w", spec.Seed, err)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			if bar != nil {
-				_ = bar.Add(1)
-			}
-			all = append(all, r)
-			return c.tell(s, r)
-		})
-	}
-	if err := group.Wait(); err != nil {
+	err = c.each(func(ctx context.Context, seed uint64, o drill.Options) error {
+		spec, err := p.Spec(v, w, seed)
+		if err != nil {
+			return err
+		}
+		o.Program = cmp.Or(c.Program, v.Build)
+		r, err := drill.Run(ctx, spec, o)
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if bar != nil {
+			_ = bar.Add(1)
+		}
+		all = append(all, r)
+		return c.tell(s, r)
+	})
+	if err != nil {
 		return err
 	}
 	sum := c.sum(all)
--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -3,16 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"os"
-	"os/signal"
-	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
-
-	"golang.org/x/sync/errgroup"
 
 	"archknot/internal/drill"
 )
@@ -20,12 +13,9 @@
 type drillSoakCmd struct {
 	Plan     string `arg:"" help:"The plan: see deploy/soak.plan."`
 	Program  string `placeholder:"FILE" help:"Another build that is started in the place of this one."`
-	Seed     uint64 `default:"1" help:"The first seed: the same draws the same events."`
-	Seeds    int    `default:"1" help:"How many soaks, each with the next seed."`
-	Jobs     int    `default:"1" help:"Soaks at once."`
-	Logs     string `placeholder:"DIR" help:"Where configurations and logs are left; without it they are removed."`
 	Timeline bool   `help:"Print the timeline of each soak, and not only of those that broke a rule."`
 	JSON     bool   `name:"json" help:"Print JSON, a line for each soak."`
+	seedFlags
 }
 
 func (drillSoakCmd) Help() string {
@@ -39,36 +29,24 @@
 	if err != nil {
 		return err
 	}
-	if c.Seeds < 1 || c.Jobs < 1 {
-		return errors.New("--seeds, --jobs: expected 1 or more")
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	var mu sync.Mutex
 	broken := 0
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(c.Jobs)
-	for i := range c.Seeds {
-		group.Go(func() error {
-			spec, err := p.Spec(v, w, c.Seed+uint64(i))
-			if err != nil {
-				return err
-			}
-			o := drill.Options{Program: c.Program}
-			if c.Logs != "" {
-				o.Dir = filepath.Join(c.Logs, fmt.Sprint(spec.Seed))
-			}
-			r, err := drill.Soak(ctx, spec, o)
-			if err != nil {
-				return fmt.Errorf("seed %d: %w", spec.Seed, err)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			broken += len(r.Breaks) + len(r.Crashes)
-			return c.tell(s, r)
-		})
-	}
-	if err := group.Wait(); err != nil {
+	err = c.each(func(ctx context.Context, seed uint64, o drill.Options) error {
+		spec, err := p.Spec(v, w, seed)
+		if err != nil {
+			return err
+		}
+		o.Program = c.Program
+		r, err := drill.Soak(ctx, spec, o)
+		if err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		broken += len(r.Breaks) + len(r.Crashes)
+		return c.tell(s, r)
+	})
+	if err != nil {
 		return err
 	}
 	if broken > 0 {
--- a/internal/drill/soak_test.go
+++ b/internal/drill/soak_test.go
@@ -81,7 +81,7 @@
 	{"SIGTERM drops what is in hand", "lost", 7, []change{
 		{"internal/gateway/gateway.go", "return g.clients.none(ctx)", "return nil"}}},
 	{"time in the system's queue does not count", "deadline", 15, []change{
-		{"internal/gateway/clients.go", "return max(earliest, now-choice.Micros(info.Last_data_recv)*1000)", "_, _ = earliest, info; return now"}}},
+		{"internal/gateway/clientconn.go", "return max(earliest, now-choice.Micros(info.Last_data_recv)*1000)", "_, _ = earliest, info; return now"}}},
 }
 
 // build makes the mutant's program.
