--- a/internal/lifecycle/stream.go
+++ b/internal/lifecycle/stream.go
@@ -59,12 +59,19 @@
 	return closeAll, nil
 }
 
+// settings are our own settings in force, for tasks other than that of signals. They are replaced whole.
+func (s *server) settings() *conf.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conf
+}
+
 // limits are what versions must keep within, by the platform's configuration.
 func (s *server) limits() revision.Limits {
 	l, g := revision.DefaultLimits, &s.c.Gateway
 	l.Sockets, l.AskWithin = g.ClientConns+g.WorkerConns, g.AskWithin.Microseconds()
 	l.MostHeldOver = g.ClientConns
-	l.MayRecord = s.conf.Capture.Directory != ""
+	l.MayRecord = s.settings().Capture.Directory != ""
 	return l
 }
 
@@ -132,7 +139,7 @@
 	if s.stream == nil {
 		return nil, errNoService
 	}
-	st := Status{Service: s.conf.Service.Address, Connected: s.stream.Connected()}
+	st := Status{Service: s.settings().Service.Address, Connected: s.stream.Connected()}
 	if c := s.stream.InForce(); c != nil {
 		st.Version, st.Classes, st.Tenants, st.Marks = uint64(c.Number), len(c.Classes), len(c.Tenants), len(c.Workers)
 	}
