--- a/internal/drill/soakaudit.go
+++ b/internal/drill/soakaudit.go
@@ -133,7 +133,7 @@
 // soon may be.
 func (a *soakAuditor) excused(t *soakTry) bool {
 	for _, e := range a.ends {
-		if e.gateway != t.gateway || t.sentAt.After(e.to) || t.endAt.Before(e.from.Add(-auditSlack)) {
+		if e.gateway != t.gateway || t.begunAt.After(e.to) || t.endAt.Before(e.from.Add(-auditSlack)) {
 			continue
 		}
 		killed := !e.told || e.to.Sub(e.from) >= a.deadline+earliestKill
--- a/internal/drill/soakclient.go
+++ b/internal/drill/soakclient.go
@@ -38,6 +38,7 @@
 	gateway int
 	class   string
 	wait    time.Duration
+	begunAt time.Time // its client looked for a connection
 	sentAt  time.Time // its last byte was written
 	endAt   time.Time
 	how     string
@@ -152,6 +153,7 @@
 		leave = time.Duration(rng.ExpFloat64() * float64(100*time.Millisecond))
 	}
 	pieces := rng.Float64() < piecesShare
+	t.begunAt = time.Now()
 	c := s.take(gateway)
 	for {
 		if c == nil {
@@ -166,6 +168,7 @@
 		if again && t.again.IsZero() { // the close of a connection at rest crossed it
 			c.Close()
 			c, t.again = nil, time.Now()
+			t.begunAt = t.again
 			continue
 		}
 		t.how = how
@@ -294,8 +297,9 @@
 }
 
 // stillHeld lists what a gateway that was drained 4 s ago should not hold: connections at rest, and
-// requests that came in the last 2 s.
+// requests that came in the last 2 s, but for those that have come just now and are being refused.
 func (s *soakClients) stillHeld(gateway int, from time.Time) (out []string) {
+	justNow := time.Now().Add(-auditSlack)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.idle[gateway] {
@@ -304,7 +308,7 @@
 		}
 	}
 	for t := range s.open {
-		if t.gateway == gateway && t.sentAt.After(from) {
+		if t.gateway == gateway && t.sentAt.After(from) && t.sentAt.Before(justNow) {
 			out = append(out, "request "+t.id)
 		}
 	}
