--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -242,7 +242,7 @@
 		l.g.listed.add(in.Instances[i].ID)
 	}
 	if len(l.outStart) < len(l.out) {
-		defer l.noteStarts()
+		l.noteStarts()
 	}
 }
 
