A test waits for the connection to rest that it has ended for another

Traced: the client had its answer before the server said that the connection rests (StateIdle), and until then it counts as busy and is rightly not ended.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -597,6 +597,13 @@
 	}
 }
 
+// rests tells whether a request has been answered on the connection, and none is coming.
+func (c *clientConn) rests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used && c.first == 0
+}
+
 // At the limit of connections the idlest makes room; where all are busy, the
 // new one is told so.
 func TestConnectionsAreBounded(t *testing.T) {
@@ -605,6 +612,10 @@
 	idle := dial(t, g.addr)
 	idle.raw("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")
 	idle.answer()
+	until(t, "the idle connection rests", func() bool { // its answer comes before the server's word that it does
+		all := g.clients.all()
+		return len(all) == 1 && all[0].rests()
+	})
 	for _, id := range []string{"i1", "i2"} {
 		c := dial(t, g.addr)
 		c.ask(id, "4000m")
