gateway: the log and the metrics say how old a list is, and how polls ended

- endpoint_state: which replicas a list changes, from which state to which.
- endpoint_list_stale, endpoint_list_current; gauges list_age_seconds and list_stale.
- discovery_poll (debug), and since, wait_ms and took_ms on discovery_silent and discovery_failed; the counter polls_total by outcome.
- attempt: after, list_version, list_age_ms; request: list_age_ms.
- endpoint_list: took_ms, previous_age_ms; kind=override for operators' and versions' orders, which were logged as kind=delta.

No decision changes. The poll loop is split: newPoll and outcome are functions of their own.

--- a/balancer/introspect.go
+++ b/balancer/introspect.go
@@ -35,6 +35,16 @@
 	return now - row.reportedAt, true
 }
 
+// ListAge is the time since discovery's last word: up to then the Balancer knows of all
+// changes of the endpoint list.
+func (b *Balancer) ListAge(now Micros) Micros { return now - b.lastHeardAt }
+
+// ListStale reports whether a change of the endpoint list may count as known although the
+// Balancer does not have it.
+func (b *Balancer) ListStale(now Micros) bool {
+	return b.settings.WatchInterval > 0 && b.ListAge(now) >= listGracePeriod
+}
+
 // PrefixShare is a low estimate of a prefix's share of the requests: while few were seen,
 // one sight says little.
 func (b *Balancer) PrefixShare(prefix uint64) float64 {
--- a/internal/controlstats/controlstats.go
+++ b/internal/controlstats/controlstats.go
@@ -95,6 +95,10 @@
 	Joined         uint64 `json:"joined"` // replicas that have come into the subset
 	Left           uint64 `json:"left"`   // replicas that have left it
 
+	ListAge   time.Duration    `json:"list_age_ns,omitempty"` // since discovery's last word
+	ListStale bool             `json:"list_stale,omitempty"`  // the list is too old to be trusted
+	Polls     map[string]int64 `json:"polls,omitempty"`       // of discovery, by outcome
+
 	RejectedLists    int64 `json:"refused_lists"`
 	MalformedEntries int64 `json:"odd_entries"`  // of endpoint lists
 	UnknownKeys      int64 `json:"unknown_keys"` // of the configuration in force
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -26,7 +26,7 @@
 	}
 	l.recordReportAge(to)
 	attempt := l.requests.StartAttempt(r, replica, l.now, timeoutAt)
-	attempt.Cause = attemptCause(r)
+	attempt.Cause, attempt.Basis = attemptCause(r), l.attemptBasis(r)
 	if !l.accounting.chargeAttempt(l.now, attempt) {
 		attempt.Cancel()
 		l.deferred = append(l.deferred, attemptEnded{attempt: attempt, status: balancer.NotSent})
@@ -139,6 +139,11 @@
 	return attemptRetry
 }
 
+// attemptBasis returns what the newest attempt of a request is decided on.
+func (l *eventLoop) attemptBasis(r *inflight.Request) inflight.Basis {
+	return inflight.Basis{ListVersion: l.endpoints.Version(), ListAge: l.balancer.ListAge(l.now), After: r.LastStatus}
+}
+
 // recordReportAge counts the age of the load report that an attempt at a replica is based on.
 func (l *eventLoop) recordReportAge(to balancer.ReplicaID) {
 	age, known := l.balancer.ReportAge(l.now, to)
--- a/internal/gateway/controlstats.go
+++ b/internal/gateway/controlstats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"archknot/internal/controlstats"
 )
@@ -23,6 +24,8 @@
 		Left:           view.Left,
 		ListVersion:    l.endpoints.Version(),
 		ListSince:      l.endpoints.receivedAt,
+		ListAge:        time.Duration(l.balancer.ListAge(l.now)) * time.Microsecond,
+		ListStale:      l.balancer.ListStale(l.now),
 		LoopBusy:       l.busy,
 		Reports:        l.reports,
 	}
@@ -35,6 +38,7 @@
 	g.loop.post(ctx, query)
 	select {
 	case stats := <-query.result:
+		stats.Polls = g.polls.byOutcome()
 		stats.RejectedLists = g.rejectedLists.Load()
 		stats.MalformedEntries = g.invalidEntries.Load()
 		stats.Connections = g.pool.OpenCount()
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -43,41 +43,64 @@
 func (w *discoveryWatch) follow(ctx context.Context) {
 	g := w.gateway
 	for silent := false; ; {
-		config, begun := g.config.Load(), time.Now()
-		timeout := config.watchWait + config.discoveryTimeout
-		if w.generation == httpwire.NoGeneration { // such a call does not wait for a change
-			timeout = config.discoveryTimeout
-		}
-		path := httpwire.ListQuery(w.generation, config.watchWait.Milliseconds())
-		list, next, err := g.pollList(ctx, w.addr, path, timeout)
-		if next != "" {
+		poll := w.newPoll()
+		list, next, err := g.pollList(ctx, &poll)
+		outcome := poll.outcome(&list, next, err)
+		g.polls[outcome].Add(1)
+		poll.log(ctx, slog.LevelDebug, "discovery_poll", "outcome", outcome.String())
+		switch {
+		case outcome == pollMoved:
 			w.moveTo(next)
-			continue
-		}
-		if err != nil && !silent && !errors.Is(err, errNotConnected) && time.Since(begun) >= timeout {
+		case outcome == pollSilent && !silent:
 			// Discovery accepted the call and did not answer within the timeout. What the
 			// gateway missed counts as notified by now, so it polls again at once, but only
 			// once. The gateways' calls stay as far apart as their watches were begun.
 			silent = true
-			slog.Warn("discovery_silent", "err", err)
-			continue
-		}
-		if err != nil {
-			w.reportFailure(ctx, err, time.Since(begun))
+			poll.log(ctx, slog.LevelWarn, "discovery_silent", "err", err)
+		case err != nil:
+			w.reportFailure(ctx, &poll, err)
 			return
+		default:
+			silent, w.generation = false, list.Generation
+			g.loop.post(ctx, listReceived{list, time.Since(poll.begunAt)})
 		}
-		silent, w.generation = false, list.Generation
-		g.loop.post(ctx, listReceived{list})
 	}
 }
 
+// newPoll returns the next call.
+func (w *discoveryWatch) newPoll() discoveryPoll {
+	config := w.gateway.config.Load()
+	poll := discoveryPoll{addr: w.addr, since: w.generation, wait: config.watchWait, begunAt: time.Now()}
+	if w.generation == httpwire.NoGeneration { // such a call does not wait for a change
+		poll.wait = 0
+	}
+	poll.timeout = poll.wait + config.discoveryTimeout
+	return poll
+}
+
+// outcome returns how the call ended.
+func (p *discoveryPoll) outcome(list *httpwire.EndpointList, next string, err error) pollOutcome {
+	switch {
+	case next != "":
+		return pollMoved
+	case err != nil && !errors.Is(err, errNotConnected) && time.Since(p.begunAt) >= p.timeout:
+		return pollSilent
+	case err != nil:
+		return pollFailed
+	case len(list.Endpoints) == 0 && !list.Reset:
+		return pollUnchanged
+	}
+	return pollChanged
+}
+
 // reportFailure posts a failed poll, and waits until the loop has applied it: polls requested
 // before that are void, those requested from then on count.
-func (w *discoveryWatch) reportFailure(ctx context.Context, err error, took time.Duration) {
+func (w *discoveryWatch) reportFailure(ctx context.Context, poll *discoveryPoll, err error) {
 	// Where nobody listens, that shows at once; a service that accepted the call or let it wait
 	// may have had changes.
-	unreachable := errors.Is(err, errNotConnected) && took < connectRefusedWithin
-	failed := listPollFailed{err, unreachable, make(chan struct{})}
+	unreachable := errors.Is(err, errNotConnected) && time.Since(poll.begunAt) < connectRefusedWithin
+	poll.log(ctx, slog.LevelInfo, "discovery_failed", "err", err, "unreachable", unreachable)
+	failed := listPollFailed{unreachable, make(chan struct{})}
 	w.gateway.loop.post(ctx, failed)
 	select {
 	case <-failed.handled:
@@ -94,13 +117,13 @@
 }
 
 // pollList makes one call. A move ends it early; then next is the new address.
-func (g *Gateway) pollList(ctx context.Context, addr, path string, timeout time.Duration) (list httpwire.EndpointList, next string, err error) {
+func (g *Gateway) pollList(ctx context.Context, poll *discoveryPoll) (list httpwire.EndpointList, next string, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		list, err = g.requestList(ctx, addr, path, timeout)
+		list, err = g.requestList(ctx, poll.addr, httpwire.ListQuery(poll.since, poll.wait.Milliseconds()), poll.timeout)
 	}()
 	select {
 	case <-done:
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -207,7 +207,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			listReceived{got}.apply(g.loop)
+			listReceived{list: got}.apply(g.loop)
 			if !g.ready.Load() || g.loop.endpoints.ReadyCount() != 6000 {
 				t.Errorf("ready %t with %d", g.ready.Load(), g.loop.endpoints.ReadyCount())
 			}
--- /dev/null
+++ b/internal/gateway/discoverypoll.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+)
+
+// pollOutcome is how a poll of discovery ended, as the log and the metrics name it.
+type pollOutcome uint8
+
+// The outcomes of a poll.
+const (
+	pollChanged   pollOutcome = iota // discovery sent a list or a change of it
+	pollUnchanged                    // discovery answered that nothing has changed
+	pollSilent                       // discovery did not answer within the timeout
+	pollFailed                       // the call failed in any other way
+	pollMoved                        // the gateway left discovery's address meanwhile
+	pollOutcomes  int         = iota
+)
+
+func (o pollOutcome) String() string {
+	return [...]string{"changed", "unchanged", "silent", "failed", "moved"}[o]
+}
+
+// discoveryPoll is one call to discovery.
+type discoveryPoll struct {
+	addr    string
+	since   int64         // the generation that the gateway has
+	wait    time.Duration // how long discovery may wait for a change
+	timeout time.Duration // of the whole call
+	begunAt time.Time
+}
+
+// log writes a line about the poll.
+func (p *discoveryPoll) log(ctx context.Context, level slog.Level, msg string, args ...any) {
+	slog.Log(ctx, level, msg, append(args, "addr", p.addr, "since", p.since,
+		"wait_ms", p.wait.Milliseconds(), "took_ms", time.Since(p.begunAt).Milliseconds())...)
+}
+
+// pollCounts counts polls of discovery by outcome. Any goroutine may use it.
+type pollCounts [pollOutcomes]atomic.Int64
+
+// byOutcome returns the counts by the name of the outcome.
+func (c *pollCounts) byOutcome() map[string]int64 {
+	counts := make(map[string]int64, pollOutcomes)
+	for outcome := range pollOutcomes {
+		counts[pollOutcome(outcome).String()] = c[outcome].Load()
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/gateway/endpointlog.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"log/slog"
+
+	"archknot/balancer"
+	"archknot/internal/httpwire"
+)
+
+// The log of the endpoint list: lists, what they change, and whether the list in force is current.
+
+// maxStateChangeLines bounds the lines that one list writes about its replicas.
+const maxStateChangeLines = 32
+
+// microsPerMilli converts balancer.Micros to milliseconds.
+const microsPerMilli = 1000
+
+// listKindNames are the values of kind in the log line of a list.
+var listKindNames = map[balancer.ListKind]string{
+	balancer.ListDelta:    "delta",
+	balancer.ListFull:     "full",
+	balancer.ListCached:   "saved",
+	balancer.ListOverride: "override",
+}
+
+// logList logs a list that was applied.
+func (l *eventLoop) logList(list httpwire.EndpointList, kind balancer.ListKind, args ...any) {
+	stats := l.endpoints.view.Stats()
+	slog.Info("endpoint_list", append([]any{"kind", listKindNames[kind], "version", list.Generation, "entries", len(list.Endpoints),
+		"ready", l.endpoints.ReadyCount(), "subset", stats.Subset, "joined", stats.Joined, "left", stats.Left}, args...)...)
+}
+
+// logStateChanges logs the replicas whose state a list is about to change. The first list of all changes none.
+func (l *eventLoop) logStateChanges(list httpwire.EndpointList) {
+	if l.endpoints.Len() == 0 {
+		return
+	}
+	changes := 0
+	for i := range list.Endpoints {
+		entry := &list.Endpoints[i]
+		from, restarted := "unlisted", false
+		if replica := l.endpoints.ByName(entry.ID); replica != nil {
+			from, restarted = replica.Lifecycle, replica.StartedAtMs != entry.StartedAtMs
+		}
+		if from == entry.Lifecycle && !restarted {
+			continue
+		}
+		if changes++; changes <= maxStateChangeLines {
+			slog.Info("endpoint_state", "replica", entry.ID, "from", from, "to", entry.Lifecycle, "restarted", restarted, "version", list.Generation)
+		}
+	}
+	if changes > maxStateChangeLines {
+		slog.Info("endpoint_states_omitted", "omitted", changes-maxStateChangeLines, "version", list.Generation)
+	}
+}
+
+// listMonitor logs when the list in force has become stale, and when it is current again. The event loop
+// owns it.
+type listMonitor struct {
+	stale     bool
+	nextCheck balancer.Micros
+}
+
+// listCheckInterval is how often the event loop looks whether the list is stale.
+const listCheckInterval balancer.Micros = 250_000
+
+// logChanges logs a change since the last check, once per listCheckInterval.
+func (m *listMonitor) logChanges(now balancer.Micros, b *balancer.Balancer, version int64) {
+	if now < m.nextCheck {
+		return
+	}
+	m.nextCheck = now + listCheckInterval
+	stale, age := b.ListStale(now), b.ListAge(now)
+	switch {
+	case stale && !m.stale:
+		slog.Warn("endpoint_list_stale", "version", version, "age_ms", age/microsPerMilli)
+	case m.stale && !stale:
+		slog.Info("endpoint_list_current", "version", version, "age_ms", age/microsPerMilli)
+	}
+	m.stale = stale
+}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -145,25 +145,30 @@
 }
 
 // listReceived: discovery has sent a list or a change of it.
-type listReceived struct{ list httpwire.EndpointList }
+type listReceived struct {
+	list httpwire.EndpointList
+	took time.Duration // by the call that brought it
+}
 
 func (e listReceived) apply(l *eventLoop) {
 	kind := balancer.ListDelta
 	if e.list.Reset {
 		kind = balancer.ListFull
 	}
+	age := l.balancer.ListAge(l.now)
 	l.receiveList(e.list, kind)
+	if len(e.list.Endpoints) > 0 {
+		l.logList(e.list, kind, "took_ms", e.took.Milliseconds(), "previous_age_ms", age/microsPerMilli)
+	}
 }
 
 // listPollFailed: a poll of discovery has failed.
 type listPollFailed struct {
-	err         error
 	unreachable bool          // nobody listens at discovery's address
 	handled     chan struct{} // closed once the event is applied
 }
 
 func (e listPollFailed) apply(l *eventLoop) {
-	slog.Info("discovery_failed", "err", e.err)
 	kind := balancer.ListFailed
 	if e.unreachable {
 		kind = balancer.ListUnreachable
@@ -179,6 +184,9 @@
 // loadCachedList applies the list from the configuration, before discovery has answered.
 func (l *eventLoop) loadCachedList(list httpwire.EndpointList) {
 	l.applyList(list, balancer.ListCached)
+	if len(list.Endpoints) > 0 {
+		l.logList(list, balancer.ListCached)
+	}
 	l.updateReady()
 }
 
@@ -201,6 +209,7 @@
 	change := l.endpoints.setWithheld(marks, ejected)
 	if len(change.Endpoints) > 0 {
 		l.applyList(change, balancer.ListOverride)
+		l.logList(change, balancer.ListOverride)
 	}
 }
 
@@ -214,6 +223,7 @@
 	list = l.endpoints.fillPartialEntries(list)
 	l.recordListed(list)
 	list = l.endpoints.overlayWithheld(list, source)
+	l.logStateChanges(list)
 	change, removed := l.endpoints.Apply(list, source, l.gateway.clock.fromUnixMillis)
 	if kind == balancer.ListOverride {
 		change.Kind = balancer.ListOverride
@@ -223,22 +233,6 @@
 	}
 	l.module.ListChanged(l.now, l.endpoints.view.Apply(l.now, change))
 	l.endpoints.receivedAt = l.gateway.clock.timeAt(l.now)
-	if len(list.Endpoints) > 0 {
-		l.logList(list, source)
-	}
-}
-
-// listKindNames are the values of kind in the log line of a list.
-var listKindNames = map[balancer.ListKind]string{
-	balancer.ListDelta:  "delta",
-	balancer.ListFull:   "full",
-	balancer.ListCached: "saved",
-}
-
-func (l *eventLoop) logList(list httpwire.EndpointList, kind balancer.ListKind) {
-	stats := l.endpoints.view.Stats()
-	slog.Info("endpoint_list", "kind", listKindNames[kind], "version", list.Generation, "entries", len(list.Endpoints),
-		"ready", l.endpoints.ReadyCount(), "subset", stats.Subset, "joined", stats.Joined, "left", stats.Left)
 }
 
 // recordListed remembers the ids of a list, for the operators' orders.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -121,6 +121,7 @@
 	l.accounting.settleAttempt(l.now, &e)
 	l.accounting.shares.recordReplicaLoad(e.attempt.Replica, &e.report)
 	elapsed := l.now - e.attempt.SentAt
+	r.LastStatus = attemptStatusNames[e.status]
 	if e.status != balancer.Served {
 		e.log(elapsed)
 	}
@@ -163,7 +164,10 @@
 		slog.Int64("elapsed_ms", elapsed/1000),
 		slog.Bool("streamed", r.Winner == e.attempt),
 		slog.Bool("reused", e.reused),
-		slog.Int("http_status", e.httpStatus))
+		slog.Int("http_status", e.httpStatus),
+		slog.String("after", e.attempt.Basis.After),
+		slog.Int64("list_version", e.attempt.Basis.ListVersion),
+		slog.Int64("list_age_ms", e.attempt.Basis.ListAge/microsPerMilli))
 }
 
 // healthCheckEnded is the outcome of a health check.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,7 @@
 
 	// Statistics, and logs that clients or discovery can cause at any rate.
 	meters          [controlstats.PurposeCount]controlstats.Meter
+	polls           pollCounts   // of discovery
 	rejectedLists   atomic.Int64 // endpoint lists that were not applied
 	invalidEntries  atomic.Int64 // entries that could not be applied as they were
 	unknownKeys     atomic.Int64 // keys of the configuration that nothing serves
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -36,6 +36,7 @@
 	endpoints  endpointTracker
 	accounting contractAccounting
 	zones      zoneMonitor
+	list       listMonitor
 	reports    controlstats.ReportAge
 
 	pollRequests      chan struct{} // to the goroutine that watches discovery
@@ -90,6 +91,7 @@
 		l.fireTimers()
 		l.applyDeferred()
 		l.zones.logChanges(l.now, l.balancer)
+		l.list.logChanges(l.now, l.balancer, l.endpoints.Version())
 		l.busy += time.Since(turnStart)
 		if len(l.timers) > 0 {
 			wake.Reset(time.Until(l.gateway.clock.timeAt(l.timers[0].at)))
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -29,6 +29,7 @@
 	reason     string // of a request that was not served
 	replica    string // whose stream the client got
 	attempts   int
+	listAge    balancer.Micros // of the endpoint list, when the last attempt was decided
 	firstToken balancer.Micros // after the client's sending; 0: there was none
 	retryAfter balancer.Micros // the advice to the client; 0: none
 }
@@ -46,5 +47,6 @@
 		slog.Int64("timeout_ms", request.Timeout/1000),
 		slog.Int64("first_token_ms", r.firstToken/1000),
 		slog.Int64("total_ms", elapsed/1000),
-		slog.Int64("retry_after_ms", r.retryAfter/1000))
+		slog.Int64("retry_after_ms", r.retryAfter/1000),
+		slog.Int64("list_age_ms", r.listAge/microsPerMilli))
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -148,6 +148,7 @@
 			switch action.Kind {
 			case inflight.ActionForward:
 				h.result.attempts++
+				h.result.listAge = action.Attempt.Basis.ListAge
 				exchange := &attemptExchange{h.gateway, r, h.body, action.Attempt, h.lease}
 				h.lease.startAttempt(exchange.run)
 			case inflight.ActionStream:
--- a/internal/inflight/request.go
+++ b/internal/inflight/request.go
@@ -46,6 +46,7 @@
 	Attempts        []*Attempt
 	Winner          *Attempt        // the attempt whose stream the client gets; nil before there is one
 	Finished        bool            // the client has its final answer or has disconnected
+	LastStatus      string          // of the attempt that ended last, for the log
 	Charge          contract.Charge // until the first attempt takes it over
 	EstimatedUse    contract.Usage  // the use that was charged
 	OverRate        bool            // the request competes beyond its team's rate
@@ -77,6 +78,13 @@
 // AttemptsInFlight returns the number of the request's attempts that have not ended.
 func (r *Request) AttemptsInFlight() int { return r.attemptsInFlight }
 
+// Basis is what an attempt was decided on, for the log.
+type Basis struct {
+	ListVersion int64           // of the endpoint list
+	ListAge     balancer.Micros // since discovery's last word
+	After       string          // status of the attempt that ended before; empty: none has ended
+}
+
 // Attempt is one attempt of a request at a replica.
 type Attempt struct {
 	Request   *Request
@@ -91,6 +99,7 @@
 	Charge    contract.Charge
 	NeverRan  bool   // the replica did not run the attempt; set once it has ended
 	Cause     string // first, retry or hedge: for the log
+	Basis     Basis  // for the log
 
 	ended bool
 }
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -28,6 +28,9 @@
 	unsavedOrdersDesc    = controlDesc("orders_not_saved", "1 while what operators ordered cannot be read or saved.")
 	operatorDesc         = controlDesc("operator_calls_total", "Operators' calls, by call and answer.", "call", "answer")
 	versionDesc          = controlDesc("list_version", "The version of the list in force.")
+	listAgeDesc          = controlDesc("list_age_seconds", "Time since discovery's last word on the list in force.")
+	listStaleDesc        = controlDesc("list_stale", "1 while the list in force is too old to be trusted.")
+	pollsDesc            = controlDesc("polls_total", "Polls of discovery that have ended, by outcome.", "outcome")
 	connectionsDesc      = controlDesc("connections", "Connections to replicas that are open.")
 	busyDesc             = controlDesc("decide_seconds_total", "Time that the task that decides was busy.")
 	attemptsDesc         = controlDesc("attempts_total", "Attempts, by whether there was a report of the replica's load.", "report")
@@ -39,7 +42,7 @@
 
 // Describe sends the descriptions of all metrics of control work.
 func (c *controlCollector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{replicasDesc, subsetChangesDesc, rejectedListsDesc, malformedEntriesDesc, unknownKeysDesc, closedDesc, ejectedDesc, drainedDesc, unsavedOrdersDesc, operatorDesc, versionDesc, connectionsDesc, busyDesc, attemptsDesc,
+	for _, d := range []*prometheus.Desc{replicasDesc, subsetChangesDesc, rejectedListsDesc, malformedEntriesDesc, unknownKeysDesc, closedDesc, ejectedDesc, drainedDesc, unsavedOrdersDesc, operatorDesc, versionDesc, listAgeDesc, listStaleDesc, pollsDesc, connectionsDesc, busyDesc, attemptsDesc,
 		reportAgeDesc, callsDesc, openedDesc, bytesDesc} {
 		ch <- d
 	}
@@ -75,6 +78,11 @@
 		e.counter(closedDesc, float64(n), reason)
 	}
 	e.gauge(versionDesc, float64(stats.ListVersion))
+	e.gauge(listAgeDesc, stats.ListAge.Seconds())
+	e.gauge(listStaleDesc, boolValue(stats.ListStale))
+	for outcome, n := range stats.Polls {
+		e.counter(pollsDesc, float64(n), outcome)
+	}
 }
 
 // emitOperators sends the metrics of operators' orders and calls.
--- a/internal/publicnames/publicnames_test.go
+++ b/internal/publicnames/publicnames_test.go
@@ -50,8 +50,8 @@
 
 func (figuresSource) Control(context.Context) (controlstats.Stats, error) {
 	return controlstats.Stats{
-		ClosedConnections: map[string]int64{"idle": 1},
-		OperatorCalls:     []controlstats.OperatorCallCount{{Call: "ready", Accepted: true}, {Call: "ready"}},
+		ClosedConnections: map[string]int64{"idle": 1}, Polls: map[string]int64{"silent": 1},
+		OperatorCalls: []controlstats.OperatorCallCount{{Call: "ready", Accepted: true}, {Call: "ready"}},
 	}, nil
 }
 
