KNOWN-RED.txt: an entry has test, command, seed, what was seen and issue

As strict as before: a test that is not there, a part that is missing and more than three entries fail the run.

--- a/internal/ci/ci_test.go
+++ b/internal/ci/ci_test.go
@@ -24,6 +24,10 @@
 func TestOther(t *testing.T) {}
 func TestRed(t *testing.T) { t.Error("planted") }
 `
+	const form = "expected 'folder.TestName | command | seed N | what was seen | issue N'"
+	entry := func(test string) string {
+		return "one." + test + " | go test ./one | no seed | planted | issue 32"
+	}
 	for name, c := range map[string]struct {
 		list   string // KNOWN-RED.txt; "-": there is none
 		red    bool   // the module has the red test
@@ -33,17 +37,23 @@
 		"no list":                {"-", false, true, "ok"},
 		"empty":                  {"\n", false, true, "ok"},
 		"red and not listed":     {"-", true, false, "planted"},
-		"red and listed":         {"one.TestRed, planted, 32\n", true, true, "one TestRed fails, as listed"},
-		"no newline":             {"one.TestRed, planted, 32", true, true, "one TestRed fails, as listed"},
-		"listed and passes":      {"one.TestGreen, once red, 32\n", false, true, "one TestGreen passes now: take it off"},
-		"another one is red":     {"one.TestGreen, once red, 32\n", true, false, "planted"},
-		"no issue":               {"one.TestRed, planted\n", true, false, "expected 'folder.TestName, cause, issue'"},
-		"no cause":               {"one.TestRed, , 32\n", true, false, "expected 'folder.TestName, cause, issue'"},
-		"no such test":           {"one.TestNone, planted, 32\n", false, false, "there is no test TestNone"},
-		"a part of a name":       {"one.TestRe, planted, 32\n", true, false, "there is no test TestRe"},
-		"no such folder":         {"two.TestRed, planted, 32\n", false, false, "there is no test TestRed in ./two"},
-		"four lines":             {strings.Repeat("one.TestGreen, planted, 32\n", 4), false, false, "4 lines; three at most"},
-		"not the name of a test": {"one.BenchmarkX, planted, 32\n", false, false, "expected"},
+		"red and listed":         {entry("TestRed") + "\n", true, true, "one TestRed fails, as listed"},
+		"no newline":             {entry("TestRed"), true, true, "one TestRed fails, as listed"},
+		"with a seed":            {strings.Replace(entry("TestRed"), "no seed", "seed 7", 1), true, true, "one TestRed fails, as listed"},
+		"listed and passes":      {entry("TestGreen"), false, true, "one TestGreen passes now: take it off"},
+		"another one is red":     {entry("TestGreen"), true, false, "planted"},
+		"no issue":               {strings.TrimSuffix(entry("TestRed"), " | issue 32"), true, false, form},
+		"issue without a number": {strings.TrimSuffix(entry("TestRed"), "32"), true, false, form},
+		"no command":             {strings.Replace(entry("TestRed"), "go test ./one", " ", 1), true, false, form},
+		"no seed":                {strings.Replace(entry("TestRed"), " | no seed", "", 1), true, false, form},
+		"seed without a number":  {strings.Replace(entry("TestRed"), "no seed", "seed", 1), true, false, form},
+		"nothing seen":           {strings.Replace(entry("TestRed"), "planted", "", 1), true, false, form},
+		"the earlier form":       {"one.TestRed, planted, 32\n", true, false, form},
+		"no such test":           {entry("TestNone"), false, false, "there is no test TestNone"},
+		"a part of a name":       {entry("TestRe"), true, false, "there is no test TestRe"},
+		"no such folder":         {"two" + strings.TrimPrefix(entry("TestRed"), "one"), false, false, "there is no test TestRed in ./two"},
+		"four entries":           {strings.Repeat(entry("TestGreen")+"\n", 4), false, false, "4 entries; three at most"},
+		"not the name of a test": {entry("BenchmarkX"), false, false, form},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
