--- /dev/null
+++ b/cmd/archknot/drain_test.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// listTerm is when a change counts as known at the latest, from when discovery had it and could be reached.
+	listTerm = 6 * time.Second
+	// drainGrace is stopSendingWithinUs of drainConfigFormat, with what the protocol adds on sockets.
+	drainGrace = 2500*time.Millisecond + 50*time.Millisecond
+	// clockTolerance is what a busy machine may add between an attempt's first byte and the record of it.
+	clockTolerance = 100 * time.Millisecond
+	// drainFor is how long a drain lasts in these tests: to well past the term and the grace.
+	drainFor = listTerm + drainGrace + 3*time.Second
+)
+
+// drainConfigFormat is the configuration of a gateway that is one of several, in a fleet with load reports.
+const drainConfigFormat = `{"name":"g","listen":"%s","discovery":"%s","admin":"%s","limits":{"cores":1,"memory_mb":64,"sockets":512},
+ "settings":{"nInstances":%d,"selfIndex":0,"discovery":"on_request","zone":"a","zones":["a"],"kinds":["m"],"feedback":{"via":"inline","names":["busy_reqs","cpu_share"]},
+  "limits":{"maxAttempts":3,"connIdleUs":60000000,"connectTimeoutUs":50000,"mostHeld":2000,"mayProbe":true,"cancelling":true,"secondCopies":true},
+  "rules":{"askWithinUs":10000000,"stopSendingWithinUs":2500000,"startCapacity":1},
+  "requestClasses":[{"name":"chat","targetUs":1000000,"deadlineUs":3000000,"effect":"repeatable","streamed":true}]}}`
+
+// drainingReplica is a replica that takes work and passes health checks also while it drains.
+type drainingReplica struct {
+	id, addr string
+	mu       sync.Mutex
+	server   *http.Server
+	attempts []time.Time // when each began
+}
+
+func newDrainingReplica(t *testing.T, id string) *drainingReplica {
+	t.Helper()
+	r := &drainingReplica{id: id, addr: freeAddress(t)}
+	r.listen(t)
+	t.Cleanup(func() { r.server.Close() })
+	return r
+}
+
+// listen starts the replica's process.
+func (r *drainingReplica) listen(t *testing.T) {
+	t.Helper()
+	l, err := net.Listen("tcp", r.addr)
+	for end := time.Now().Add(waitLimit); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+		l, err = net.Listen("tcp", r.addr)
+	}
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server = &http.Server{Handler: r}
+	go r.server.Serve(l)
+}
+
+// ServeHTTP answers attempts and health checks.
+func (r *drainingReplica) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.mu.Lock()
+	if req.Method == http.MethodPost {
+		r.attempts = append(r.attempts, time.Now())
+	}
+	r.mu.Unlock()
+	w.Header().Set("Srv-Load", "inflight=1,util=0.1")
+	if req.Method != http.MethodPost {
+		return
+	}
+	time.Sleep(serviceTime)
+	w.Header().Set("Content-Type", "text/event-stream")
+	io.WriteString(w, firstEvent+lastEvent)
+}
+
+// restart ends the replica's process and starts the next one, which takes work before discovery lists it.
+func (r *drainingReplica) restart(t *testing.T) {
+	t.Helper()
+	r.mu.Lock()
+	r.server.Close()
+	r.mu.Unlock()
+	r.listen(t)
+}
+
+// attemptsAfter returns how long after a time the attempts began that came later.
+func (r *drainingReplica) attemptsAfter(at time.Time) (late []time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, begun := range r.attempts {
+		if begun.After(at) {
+			late = append(late, begun.Sub(at))
+		}
+	}
+	return late
+}
+
+// drainCase is a way in which a gateway may miss a drain.
+type drainCase struct {
+	name     string
+	gateways int
+	// play has discovery fail and publish the drain. It returns the drain's change, and from when on
+	// discovery could be reached; zero: always.
+	play     func(d *drainDeployment) (change int, reachableFrom time.Time)
+	restarts bool // the replica is restarted while it drains, and its next process takes work before it is listed
+}
+
+// drainDeployment is a gateway before replicas of which the first drains.
+type drainDeployment struct {
+	*deployment
+	drains *drainingReplica
+}
+
+func newDrainDeployment(t *testing.T, gateways int) *drainDeployment {
+	t.Helper()
+	d := &drainDeployment{deployment: newDeployment(t, 0)}
+	for i := range 4 {
+		r := newDrainingReplica(t, fmt.Sprint("s-", i+1))
+		d.discovery.publish(r.id, endpointJSON(r.id, r.addr, "ready", ""))
+		if i == 0 {
+			d.drains = r
+		}
+	}
+	d.platformConfig = func(adminAddr string) string {
+		return fmt.Sprintf(drainConfigFormat, d.addr, d.discovery.addr, adminAddr, gateways)
+	}
+	return d
+}
+
+// drain has discovery list the first replica as draining.
+func (d *drainDeployment) drain() (change int) {
+	return d.discovery.publish(d.drains.id, endpointJSON(d.drains.id, d.drains.addr, "draining", ""))
+}
+
+// awaitWatch waits until the gateway's watch has been open for a while.
+func (d *drainDeployment) awaitWatch(openFor time.Duration) {
+	calls := d.discovery.callCount()
+	waitUntil(d.t, "a new watch", func() bool { return d.discovery.callCount() > calls })
+	time.Sleep(openFor)
+}
+
+// failFor has discovery fail for a while, and publish the drain shortly before the end.
+func (d *drainDeployment) failFor(fault discoveryFault, lasts time.Duration) (change int, reachableFrom time.Time) {
+	const drainBeforeEnd = 200 * time.Millisecond
+	d.discovery.setFault(fault)
+	time.Sleep(lasts - drainBeforeEnd)
+	change = d.drain()
+	time.Sleep(drainBeforeEnd)
+	d.discovery.setFault(discoveryUp)
+	return change, time.Now()
+}
+
+// silentWatch leaves the open watch without an answer, a while after it began, and publishes the drain behind that.
+func silentWatch(openFor time.Duration) func(d *drainDeployment) (int, time.Time) {
+	return func(d *drainDeployment) (int, time.Time) {
+		d.awaitWatch(openFor)
+		d.discovery.silenceOpenCalls()
+		time.Sleep(100 * time.Millisecond)
+		return d.drain(), time.Time{}
+	}
+}
+
+func outage(fault discoveryFault, lasts time.Duration) func(d *drainDeployment) (int, time.Time) {
+	return func(d *drainDeployment) (int, time.Time) { return d.failFor(fault, lasts) }
+}
+
+var drainCases = []drainCase{
+	{"silent watch, 3 gateways", 3, silentWatch(400 * time.Millisecond), false},
+	{"silent watch, 30 gateways", 30, silentWatch(400 * time.Millisecond), false},
+	{"silent watch, 200 gateways", 200, silentWatch(400 * time.Millisecond), false},
+	{"silent watch, 900 gateways", 900, silentWatch(time.Second), false},
+	{"silent watch, next process answers unlisted", 200, silentWatch(400 * time.Millisecond), true},
+	{"503 for 6 s, 3 gateways", 3, outage(discoveryUnavailable, 6*time.Second), false},
+	{"503 for 6 s, 200 gateways", 200, outage(discoveryUnavailable, 6*time.Second), false},
+	{"503 for 6 s, 900 gateways", 900, outage(discoveryUnavailable, 6*time.Second), false},
+	{"resets for 6 s, 200 gateways", 200, outage(discoveryResets, 6*time.Second), false},
+	{"no answers for 10 s, 200 gateways", 200, outage(discoverySilent, 10*time.Second), false},
+}
+
+// No work goes to a draining replica past the grace, counted from 6 s after discovery had the drain and could be
+// reached, however discovery failed to tell it, however many gateways there are, and although the replica takes
+// work.
+func TestNoWorkForDrainingReplicaWithoutAList(t *testing.T) {
+	for _, c := range drainCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDrainDeployment(t, c.gateways)
+			p := d.start()
+			d.waitUntilReady(p)
+			f := d.startTraffic(3)
+			waitUntil(t, "it serves", func() bool { return len(d.drains.attemptsAfter(time.Time{})) > 20 })
+			change, reachableFrom := c.play(d)
+			if c.restarts { // while the gateway has no request, as one of many often has
+				time.Sleep(listTerm / 2)
+				f.stopAndWait()
+				d.drains.restart(t)
+				f = d.startTraffic(3)
+			}
+			published, _ := d.discovery.changeTimes(change)
+			time.Sleep(time.Until(published.Add(drainFor)))
+			f.stopAndWait()
+			d.expectDrained(change, reachableFrom)
+			p.signal(t, syscall.SIGTERM)
+			p.waitForExit(t)
+		})
+	}
+}
+
+// expectDrained expects no attempts at the draining replica past the grace.
+func (d *drainDeployment) expectDrained(change int, reachableFrom time.Time) {
+	d.t.Helper()
+	published, sent := d.discovery.changeTimes(change)
+	known := published.Add(listTerm)
+	if reachableFrom.After(published) {
+		known = reachableFrom.Add(listTerm)
+	}
+	if !sent.IsZero() && sent.Before(known) {
+		known = sent
+	}
+	late := d.drains.attemptsAfter(known.Add(drainGrace + clockTolerance))
+	if len(late) > 0 {
+		d.t.Errorf("%d attempts past the grace, the last one %v past it; the drain counts as known %v after it was published, and was sent at %v",
+			len(late), late[len(late)-1], known.Sub(published), sent)
+	}
+}
--- /dev/null
+++ b/cmd/archknot/fakediscovery_test.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// discoveryFault is what is wrong with a fakeDiscovery.
+type discoveryFault int
+
+const (
+	discoveryUp          discoveryFault = iota
+	discoveryUnavailable                // it answers with 503
+	discoveryResets                     // it resets each connection without an answer
+	discoverySilent                     // it accepts calls and answers none
+)
+
+// fakeDiscovery is a discovery service with long polls.
+type fakeDiscovery struct {
+	addr        string
+	mu          sync.Mutex
+	entries     map[string]string // by id, as they stand in the list
+	order       []string
+	changes     []string    // the id that each version changed, from version 2
+	publishedAt []time.Time // of each change
+	sentAt      []time.Time // when each change was first sent to a gateway; zero: it was not
+	polledSince int         // the latest version that a poll gave as its own
+	calls       int
+	fault       discoveryFault
+	silencedAt  time.Time     // calls that began before get no answer
+	changed     chan struct{} // closed with the next change of any kind
+}
+
+func newFakeDiscovery(t *testing.T) *fakeDiscovery {
+	t.Helper()
+	d := &fakeDiscovery{addr: freeAddress(t), entries: map[string]string{}, changed: make(chan struct{})}
+	serve(t, d.addr, d.serve)
+	return d
+}
+
+// endpointJSON returns an entry of the endpoint list, with more members.
+func endpointJSON(id, addr, lifecycle, moreMembers string) string {
+	return fmt.Sprintf(`{"instanceId":"%s","hostPort":"%s","zone":"a","machineType":"m","lifecycle":"%s","weight":1%s}`, id, addr, lifecycle, moreMembers)
+}
+
+// publish adds or changes an entry. It returns the change's number.
+func (d *fakeDiscovery) publish(id, text string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.entries[id]; !ok {
+		d.order = append(d.order, id)
+	}
+	d.entries[id] = text
+	d.changes = append(d.changes, id)
+	d.publishedAt, d.sentAt = append(d.publishedAt, time.Now()), append(d.sentAt, time.Time{})
+	d.wakeAll()
+	return len(d.changes) - 1
+}
+
+// wakeAll has the calls that wait look at the state again. The caller holds the lock.
+func (d *fakeDiscovery) wakeAll() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// setFault sets what is wrong with the service. It applies to open calls, too.
+func (d *fakeDiscovery) setFault(fault discoveryFault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fault = fault
+	d.wakeAll()
+}
+
+// silenceOpenCalls leaves the calls that wait now without an answer. Later ones are answered.
+func (d *fakeDiscovery) silenceOpenCalls() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silencedAt = time.Now()
+}
+
+// callCount returns the number of calls so far.
+func (d *fakeDiscovery) callCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls
+}
+
+// changeTimes returns when a change was published, and when it was first sent; zero: it was not.
+func (d *fakeDiscovery) changeTimes(change int) (published, sent time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.publishedAt[change], d.sentAt[change]
+}
+
+// allDelivered reports whether the gateway has applied all changes: it polls for later ones.
+func (d *fakeDiscovery) allDelivered() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.polledSince > len(d.changes)
+}
+
+// serve answers a poll.
+func (d *fakeDiscovery) serve(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
+	since, err := strconv.Atoi(r.FormValue("since"))
+	watches := err == nil
+	waitMs, _ := strconv.Atoi(r.FormValue("timeout_ms")) // missing: 0
+	d.mu.Lock()
+	d.calls++
+	d.polledSince = max(d.polledSince, since)
+	d.mu.Unlock()
+	for end := time.After(time.Duration(waitMs) * time.Millisecond); ; {
+		d.mu.Lock()
+		fault, changed := d.fault, d.changed
+		if begun.Before(d.silencedAt) {
+			fault = discoverySilent
+		}
+		answer, hasNews := "", false
+		if fault == discoveryUp {
+			answer, hasNews = d.answer(watches, since)
+		}
+		version := len(d.changes) + 1
+		d.mu.Unlock()
+		switch {
+		case fault == discoveryUnavailable:
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		case fault == discoveryResets:
+			resetConn(w)
+			return
+		case fault == discoverySilent:
+			<-r.Context().Done()
+			return
+		case hasNews:
+			fmt.Fprint(w, answer)
+			d.recordSent(version)
+			return
+		}
+		select {
+		case <-changed:
+		case <-end:
+			fmt.Fprint(w, answer)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// answer returns what a poll gets, and whether there is anything new for it. The caller holds the lock.
+func (d *fakeDiscovery) answer(watches bool, since int) (text string, hasNews bool) {
+	version := len(d.changes) + 1
+	changesOnly := watches && since <= version
+	ids := d.order
+	if changesOnly {
+		ids = d.changes[max(0, since-1):]
+	}
+	var list []string
+	for _, id := range ids {
+		list = append(list, d.entries[id])
+	}
+	text = fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`, version, !changesOnly, strings.Join(list, ","))
+	return text, !changesOnly || len(list) > 0
+}
+
+// resetConn resets the connection of a call.
+func resetConn(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+// recordSent records that the changes up to a version have been sent.
+func (d *fakeDiscovery) recordSent(version int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i := range version - 1 {
+		if d.sentAt[i].IsZero() {
+			d.sentAt[i] = time.Now()
+		}
+	}
+}
--- a/cmd/archknot/faults_test.go
+++ b/cmd/archknot/faults_test.go
@@ -117,7 +117,7 @@
 // Later it stays in force for a replica that is listed, and is dropped for one that is not.
 func TestOrdersBeforeDiscoveryAnswers(t *testing.T) {
 	d := newDeployment(t, 3)
-	d.discovery.setDown(true)
+	d.discovery.setFault(discoveryUnavailable)
 	p := d.start()
 	waitUntil(t, "it answers operators", func() bool { return p.callAdmin(http.MethodGet, "/-/ready") != 0 })
 	for _, id := range []string{"s-1", "s-none"} {
@@ -125,7 +125,7 @@
 			t.Errorf("%s before discovery has answered: status %d, want an error", id, status)
 		}
 	}
-	d.discovery.setDown(false)
+	d.discovery.setFault(discoveryUp)
 	d.waitUntilReady(p)
 	f := d.startTraffic(3)
 	d.expectNoAttempts(d.replicas[0], f, "ordered before discovery answered")
--- a/cmd/archknot/fleet_test.go
+++ b/cmd/archknot/fleet_test.go
@@ -74,99 +74,6 @@
 	io.WriteString(w, lastEvent)
 }
 
-// fakeDiscovery is a discovery service with long polls.
-type fakeDiscovery struct {
-	addr        string
-	mu          sync.Mutex
-	entries     map[string]string // by id, as they stand in the list
-	order       []string
-	changes     []string // the id that each version changed, from version 2
-	polledSince int      // the latest version that a poll gave as its own
-	down        bool     // it answers with an error
-	changed     chan struct{}
-}
-
-func newFakeDiscovery(t *testing.T) *fakeDiscovery {
-	t.Helper()
-	d := &fakeDiscovery{addr: freeAddress(t), entries: map[string]string{}, changed: make(chan struct{})}
-	serve(t, d.addr, d.serve)
-	return d
-}
-
-// endpointJSON returns an entry of the endpoint list, with more members.
-func endpointJSON(id, addr, lifecycle, moreMembers string) string {
-	return fmt.Sprintf(`{"instanceId":"%s","hostPort":"%s","zone":"a","machineType":"m","lifecycle":"%s","weight":1%s}`, id, addr, lifecycle, moreMembers)
-}
-
-// publish adds or changes an entry.
-func (d *fakeDiscovery) publish(id, text string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if _, ok := d.entries[id]; !ok {
-		d.order = append(d.order, id)
-	}
-	d.entries[id] = text
-	d.changes = append(d.changes, id)
-	close(d.changed)
-	d.changed = make(chan struct{})
-}
-
-// setDown sets whether the service is down.
-func (d *fakeDiscovery) setDown(down bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.down = down
-}
-
-// allDelivered reports whether the gateway has applied all changes: it polls for later ones.
-func (d *fakeDiscovery) allDelivered() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.polledSince > len(d.changes)
-}
-
-// serve answers a poll.
-func (d *fakeDiscovery) serve(w http.ResponseWriter, r *http.Request) {
-	var since int
-	wait := 200 * time.Millisecond
-	parsed, _ := fmt.Sscan(r.URL.Query().Get("since"), &since)
-	changesOnly := parsed == 1
-	for end := time.After(wait); ; {
-		d.mu.Lock()
-		if d.down {
-			d.mu.Unlock()
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
-		changed, version := d.changed, len(d.changes)+1
-		d.polledSince = max(d.polledSince, since)
-		var list []string
-		if changesOnly && since <= version {
-			for _, id := range d.changes[max(0, since-1):] {
-				list = append(list, d.entries[id])
-			}
-		} else {
-			changesOnly = false
-			for _, id := range d.order {
-				list = append(list, d.entries[id])
-			}
-		}
-		d.mu.Unlock()
-		if !changesOnly || len(list) > 0 {
-			fmt.Fprintf(w, `{"generation":%d,"reset":%t,"instances":[%s]}`, version, !changesOnly, strings.Join(list, ","))
-			return
-		}
-		select {
-		case <-changed:
-		case <-end:
-			fmt.Fprintf(w, `{"generation":%d,"reset":false,"instances":[]}`, version)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
 // deployment is a gateway in front of several replicas. The test opens its listening socket for clients, as a
 // platform does, and makes operators' calls.
 type deployment struct {
@@ -178,6 +85,8 @@
 	tempDir      string // $TMPDIR
 	starts       int
 	log          *os.File // where the next processes log; nil: into a file each
+	// platformConfig returns the platform's configuration of the next process; nil: configFormat's.
+	platformConfig func(adminAddr string) string
 }
 
 // newDeployment starts the replicas and discovery, but no gateway.
@@ -217,6 +126,9 @@
 	dir := d.t.TempDir()
 	path := filepath.Join(dir, "config.json")
 	text := fmt.Sprintf(configFormat, d.addr, d.discovery.addr, 256, fmt.Sprintf(`"admin":"%s",`, p.adminAddr), 1, 0)
+	if d.platformConfig != nil {
+		text = d.platformConfig(p.adminAddr)
+	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
