discovery: an answer is dated by its call, not by its arrival

Of an answer that was long under way, or of a call that was refused after a wait, that is later than what it says: a change behind it counts as known from 6 s after the change, and the list was trusted for as much longer as the answer took.

EndpointList.AsOf is the time up to which all changes are known: when the call began, or, where nothing has changed, when discovery's wait was over; for a refused call when it began.

--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -1,5 +1,7 @@
 package balancer
 
+import "cmp"
+
 // Following discovery: applying its endpoint lists, polling it again after failures, and
 // how long a list is trusted.
 
@@ -41,10 +43,14 @@
 		if b.settings.PollDiscovery {
 			b.scheduleNextPoll(now, list.Kind == ListUnreachable)
 		}
+		if list.Kind == ListUnreachable {
+			b.hearAsOf(now, list.AsOf)
+		}
 		return
 	}
 	if list.Kind.FromDiscovery() {
-		b.watching, b.pollBackoff, b.nextPollAt, b.lastHeardAt = true, 0, 0, now
+		b.watching, b.pollBackoff, b.nextPollAt = true, 0, 0
+		b.hearAsOf(now, list.AsOf)
 	}
 	if list.Kind.Complete() {
 		b.markAbsentGone(list.Endpoints)
@@ -60,6 +66,11 @@
 	b.refreshEstimates(now)
 }
 
+// hearAsOf notes up to when changes of the list are known; 0: now.
+func (b *Balancer) hearAsOf(now, asOf Micros) {
+	b.lastHeardAt = max(b.lastHeardAt, min(now, cmp.Or(asOf, now)))
+}
+
 // markAbsentGone marks the replicas as gone that a complete list does not have.
 func (b *Balancer) markAbsentGone(endpoints []Endpoint) {
 	listed := make(map[ReplicaID]bool, len(endpoints))
@@ -106,9 +117,6 @@
 	case unreachable:
 		most = max(pollBackoffMax, spread)
 	}
-	if unreachable {
-		b.lastHeardAt = now
-	}
 	b.pollBackoff = min(most, max(least, 2*b.pollBackoff))
 	b.nextPollAt = now + int64(float64(b.pollBackoff)*(0.5+0.5*b.random()))
 }
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -35,7 +35,7 @@
 	ListFull                        // all entries: a replica that is not in it is gone
 	ListCached                      // all entries as last stored, which may be outdated
 	ListFailed                      // no list: a call to discovery failed
-	ListUnreachable                 // no list: discovery could not be reached
+	ListUnreachable                 // no list: discovery could not be reached, by AsOf
 	ListOverride                    // entries changed by an operator, without word from discovery
 )
 
@@ -53,6 +53,9 @@
 	Kind      ListKind
 	Version   int64
 	Endpoints []Endpoint
+	// AsOf is the time up to which all changes are known by this word of discovery's, or up to
+	// which discovery could not be reached; 0: now.
+	AsOf Micros
 	// FleetSize is the number of ready replicas in the whole fleet if lists name only
 	// this gateway's subset of it; 0: lists name all.
 	FleetSize int
--- a/internal/capture/convert.go
+++ b/internal/capture/convert.go
@@ -111,6 +111,7 @@
 		Kind:    uint32(l.Kind),
 		Version: l.Version,
 		Fleet:   int64(l.FleetSize),
+		AsOfUs:  l.AsOf,
 		Members: make([]*pb.Member, len(l.Endpoints)),
 	}
 	for i, e := range l.Endpoints {
@@ -133,6 +134,7 @@
 		Kind:      balancer.ListKind(l.GetKind()),
 		Version:   l.GetVersion(),
 		FleetSize: int(l.GetFleet()),
+		AsOf:      l.GetAsOfUs(),
 	}
 	for _, m := range l.GetMembers() {
 		out.Endpoints = append(out.Endpoints, balancer.Endpoint{
--- a/internal/gateway/clock.go
+++ b/internal/gateway/clock.go
@@ -24,6 +24,11 @@
 // now returns the current reading.
 func (c monotonicClock) now() balancer.Micros { return c.base + time.Since(c.start).Microseconds() }
 
+// readingAgo returns the reading some time ago.
+func (c monotonicClock) readingAgo(ago time.Duration) balancer.Micros {
+	return c.now() - ago.Microseconds()
+}
+
 // timeAt returns the time of a reading.
 func (c monotonicClock) timeAt(reading balancer.Micros) time.Time {
 	return c.start.Add(time.Duration(reading-c.base) * time.Microsecond)
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -12,9 +12,6 @@
 	"archknot/internal/httpwire"
 )
 
-// connectRefusedWithin is how soon a connect fails where nobody listens.
-const connectRefusedWithin = 500 * time.Millisecond
-
 // discoveryWatch follows the endpoint list. The goroutine of watchDiscovery owns it.
 type discoveryWatch struct {
 	gateway    *Gateway
@@ -62,7 +59,8 @@
 			return
 		default:
 			silent, w.generation = false, list.Generation
-			g.loop.post(ctx, listReceived{list, time.Since(poll.begunAt)})
+			asOf := g.clock.readingAgo(poll.knownFor(outcome))
+			g.loop.post(ctx, listReceived{list, time.Since(poll.begunAt), asOf})
 		}
 	}
 }
@@ -78,29 +76,12 @@
 	return poll
 }
 
-// outcome returns how the call ended.
-func (p *discoveryPoll) outcome(list *httpwire.EndpointList, next string, err error) pollOutcome {
-	switch {
-	case next != "":
-		return pollMoved
-	case err != nil && !errors.Is(err, errNotConnected) && time.Since(p.begunAt) >= p.timeout:
-		return pollSilent
-	case err != nil:
-		return pollFailed
-	case len(list.Endpoints) == 0 && !list.Reset:
-		return pollUnchanged
-	}
-	return pollChanged
-}
-
 // reportFailure posts a failed poll, and waits until the loop has applied it: polls requested
 // before that are void, those requested from then on count.
 func (w *discoveryWatch) reportFailure(ctx context.Context, poll *discoveryPoll, err error) {
-	// Where nobody listens, that shows at once; a service that accepted the call or let it wait
-	// may have had changes.
-	unreachable := errors.Is(err, errNotConnected) && time.Since(poll.begunAt) < connectRefusedWithin
+	unreachable := poll.foundUnreachable(err)
 	poll.log(ctx, slog.LevelInfo, "discovery_failed", "err", err, "unreachable", unreachable)
-	failed := listPollFailed{unreachable, make(chan struct{})}
+	failed := listPollFailed{unreachable, w.gateway.clock.readingAgo(time.Since(poll.begunAt)), make(chan struct{})}
 	w.gateway.loop.post(ctx, failed)
 	select {
 	case <-failed.handled:
--- a/internal/gateway/discoverypoll.go
+++ b/internal/gateway/discoverypoll.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
+
+	"archknot/internal/httpwire"
 )
 
 // pollOutcome is how a poll of discovery ended, as the log and the metrics name it.
@@ -33,6 +36,40 @@
 	begunAt time.Time
 }
 
+// unreachableWithin is how soon a connect fails where nobody listens.
+const unreachableWithin = 500 * time.Millisecond
+
+// outcome returns how the call ended.
+func (p *discoveryPoll) outcome(list *httpwire.EndpointList, next string, err error) pollOutcome {
+	switch {
+	case next != "":
+		return pollMoved
+	case err != nil && !errors.Is(err, errNotConnected) && time.Since(p.begunAt) >= p.timeout:
+		return pollSilent
+	case err != nil:
+		return pollFailed
+	case len(list.Endpoints) == 0 && !list.Reset:
+		return pollUnchanged
+	}
+	return pollChanged
+}
+
+// knownFor returns how long ago all changes were known that discovery had, by an answer. Discovery composed
+// the answer after it had the call, and after its wait if nothing has changed.
+func (p *discoveryPoll) knownFor(outcome pollOutcome) time.Duration {
+	took := time.Since(p.begunAt)
+	if outcome == pollUnchanged {
+		return max(0, took-p.wait)
+	}
+	return took
+}
+
+// foundUnreachable reports whether the call's failure shows that nobody listens at discovery's address. A service
+// that accepted the call or let it wait may have had changes.
+func (p *discoveryPoll) foundUnreachable(err error) bool {
+	return errors.Is(err, errNotConnected) && time.Since(p.begunAt) < unreachableWithin
+}
+
 // log writes a line about the poll.
 func (p *discoveryPoll) log(ctx context.Context, level slog.Level, msg string, args ...any) {
 	slog.Log(ctx, level, msg, append(args, "addr", p.addr, "since", p.since,
--- /dev/null
+++ b/internal/gateway/discoverypoll_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"archknot/internal/httpwire"
+)
+
+// discoveryCall answers a call to discovery; n counts the earlier calls on its connection.
+type discoveryCall func(c net.Conn, n int)
+
+// pollOnce has a gateway make one call to discovery, and returns the event that it posts. The test takes the place of
+// the event loop.
+func pollOnce(t *testing.T, generation int64, answer discoveryCall, wait time.Duration) (event, *Gateway) {
+	t.Helper()
+	l := listenOnLoopback(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					answer(c, n)
+				}
+			}()
+		}
+	}()
+	o := testOptions()
+	o.Discovery = l.Addr().String()
+	o.CachedList = httpwire.EndpointList{Generation: generation}
+	o.WatchWait, o.DiscoveryTimeout = wait, 2*time.Second
+	g := newTestGateway(t, o)
+	go g.watchDiscovery(t.Context())
+	g.loop.WatchDiscovery()
+	return <-g.loop.events, g
+}
+
+// What discovery sent is dated by the call, not by its arrival: an answer that was long under way says nothing
+// of the changes behind it.
+func TestListIsDatedByItsCall(t *testing.T) {
+	const wait, delay = 300 * time.Millisecond, 400 * time.Millisecond
+	answer := func(text string) discoveryCall {
+		return func(c net.Conn, _ int) {
+			time.Sleep(wait + delay)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		}
+	}
+	for name, c := range map[string]struct {
+		answer discoveryCall
+		latest time.Duration // after the call began
+	}{
+		"a change":  {answer(`{"generation":8,"reset":false,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","lifecycle":"ready"}]}`), 0},
+		"no change": {answer(`{"generation":7,"reset":false,"instances":[]}`), wait},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			begun := time.Now()
+			e, g := pollOnce(t, 7, c.answer, wait)
+			received, ok := e.(listReceived)
+			if asOf := g.clock.timeAt(received.asOf).Sub(begun); !ok || asOf < c.latest || asOf > c.latest+delay/2 {
+				t.Errorf("%T as of %v after the call began, want %v", e, asOf, c.latest)
+			}
+		})
+	}
+}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -147,7 +147,8 @@
 // listReceived: discovery has sent a list or a change of it.
 type listReceived struct {
 	list httpwire.EndpointList
-	took time.Duration // by the call that brought it
+	took time.Duration   // by the call that brought it
+	asOf balancer.Micros // up to when all changes are known by it
 }
 
 func (e listReceived) apply(l *eventLoop) {
@@ -156,7 +157,7 @@
 		kind = balancer.ListFull
 	}
 	age := l.balancer.ListAge(l.now)
-	l.receiveList(e.list, kind)
+	l.receiveList(e.list, kind, e.asOf)
 	if len(e.list.Endpoints) > 0 {
 		l.logList(e.list, kind, "took_ms", e.took.Milliseconds(), "previous_age_ms", age/microsPerMilli)
 	}
@@ -164,7 +165,8 @@
 
 // listPollFailed: a poll of discovery has failed.
 type listPollFailed struct {
-	unreachable bool          // nobody listens at discovery's address
+	unreachable bool // discovery could not be reached
+	asOf        balancer.Micros
 	handled     chan struct{} // closed once the event is applied
 }
 
@@ -177,13 +179,13 @@
 	case <-l.pollRequests:
 	default:
 	}
-	l.module.ListChanged(l.now, balancer.EndpointList{Kind: kind})
+	l.module.ListChanged(l.now, balancer.EndpointList{Kind: kind, AsOf: e.asOf})
 	close(e.handled)
 }
 
 // loadCachedList applies the list from the configuration, before discovery has answered.
 func (l *eventLoop) loadCachedList(list httpwire.EndpointList) {
-	l.applyList(list, balancer.ListCached)
+	l.applyList(list, balancer.ListCached, l.now)
 	if len(list.Endpoints) > 0 {
 		l.logList(list, balancer.ListCached)
 	}
@@ -191,8 +193,8 @@
 }
 
 // receiveList applies a list or a change from discovery itself.
-func (l *eventLoop) receiveList(list httpwire.EndpointList, kind balancer.ListKind) {
-	l.applyList(list, kind)
+func (l *eventLoop) receiveList(list httpwire.EndpointList, kind balancer.ListKind, asOf balancer.Micros) {
+	l.applyList(list, kind, asOf)
 	if !l.discoveryAnswered {
 		l.discoveryAnswered = true
 		l.gateway.discoveryAnswered.Store(true)
@@ -208,14 +210,14 @@
 func (l *eventLoop) setWithheld(marks map[string]bool, ejected map[string]struct{}) {
 	change := l.endpoints.setWithheld(marks, ejected)
 	if len(change.Endpoints) > 0 {
-		l.applyList(change, balancer.ListOverride)
+		l.applyList(change, balancer.ListOverride, l.now)
 		l.logList(change, balancer.ListOverride)
 	}
 }
 
 // applyList applies a list, or a ListOverride: what this gateway's own marks and ejections
 // change about it.
-func (l *eventLoop) applyList(list httpwire.EndpointList, kind balancer.ListKind) {
+func (l *eventLoop) applyList(list httpwire.EndpointList, kind balancer.ListKind, asOf balancer.Micros) {
 	source := kind
 	if kind == balancer.ListOverride {
 		source = balancer.ListDelta
@@ -231,7 +233,9 @@
 	for _, connKey := range removed {
 		l.gateway.pool.CloseIdle(connKey)
 	}
-	l.module.ListChanged(l.now, l.endpoints.view.Apply(l.now, change))
+	change = l.endpoints.view.Apply(l.now, change)
+	change.AsOf = asOf
+	l.module.ListChanged(l.now, change)
 	l.endpoints.receivedAt = l.gateway.clock.timeAt(l.now)
 }
 
--- a/internal/gateway/wallclock_test.go
+++ b/internal/gateway/wallclock_test.go
@@ -78,10 +78,10 @@
 	list := httpwire.EndpointList{Reset: true, Endpoints: []httpwire.Endpoint{{ID: "s-1", Addr: "127.0.0.1:1", Zone: "a", Kind: "k", Lifecycle: "ready",
 		StartedAtMs: (g.clock.now() - secondUs) / 1000}}}
 	l.now = g.clock.now()
-	l.receiveList(list, balancer.ListFull)
+	l.receiveList(list, balancer.ListFull, l.now)
 	was := *l.endpoints.ByName("s-1")
 	offset = -hourUs
-	l.receiveList(list, balancer.ListFull)
+	l.receiveList(list, balancer.ListFull, l.now)
 	if now := l.endpoints.ByName("s-1"); now.StartedAt != was.StartedAt {
 		t.Errorf("its start moved by %d ms", (now.StartedAt-was.StartedAt)/1000)
 	}
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -24,10 +24,10 @@
 			l := g.loop
 			l.now = g.clock.now()
 			entry := httpwire.Endpoint{ID: "s-1", Addr: w.addr, Zone: "a", Kind: "k", Lifecycle: "ready"}
-			l.receiveList(httpwire.EndpointList{Reset: true, Endpoints: []httpwire.Endpoint{entry}}, balancer.ListFull)
+			l.receiveList(httpwire.EndpointList{Reset: true, Endpoints: []httpwire.Endpoint{entry}}, balancer.ListFull, l.now)
 			ordered := l.endpoints.ByName("s-1")
 			change(&entry)
-			l.receiveList(httpwire.EndpointList{Reset: kind == balancer.ListFull, Endpoints: []httpwire.Endpoint{entry}}, kind)
+			l.receiveList(httpwire.EndpointList{Reset: kind == balancer.ListFull, Endpoints: []httpwire.Endpoint{entry}}, kind, l.now)
 			store := inflight.NewTable()
 			r := inflight.NewRequest(context.Background(), "a1", balancer.Request{}, 0, 3)
 			store.Add(r)
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -153,7 +153,7 @@
 	run, _, _ := recordRun(t, 15, 0, 4)
 	path := run.Segments[0].Path
 	_, err := capture.FindRuns(withRewrittenHeader(t, path, func(h *pb.Header) { h.Major = 9 }))
-	if !errors.Is(err, capture.ErrUnsupportedVersion) || !strings.Contains(err.Error(), "version 9.6") {
+	if !errors.Is(err, capture.ErrUnsupportedVersion) || !strings.Contains(err.Error(), "version 9.7") {
 		t.Errorf("another major version: %v", err)
 	}
 	// A later minor version: fields that this build does not know are ignored.
