discovery: 503 or a reset at once is an outage, want of a descriptor here is not

A failed call counts as 'discovery could not be reached', so that no change can have counted as known, only where the connect was refused. And a connect that failed for want of a descriptor on this machine counted as an outage: then the list would be trusted without end.

Now a call that is refused, reset, closed or answered with 503 within 0.5 s shows an outage as of its beginning; a shortage on this machine, a connection that had been idle, a later failure (a queue, a watch that was reset) and a malformed answer show nothing.

TestFailuresThatShowDiscoveryUnreachable and TestFailuresThatShowNothingOfDiscovery fail with the old rule (503, reset, closed: false; shortage: true).

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -12,6 +12,9 @@
 	"archknot/internal/httpwire"
 )
 
+// errUnavailable says that discovery answered that it serves no calls.
+var errUnavailable = errors.New("status 503")
+
 // discoveryWatch follows the endpoint list. The goroutine of watchDiscovery owns it.
 type discoveryWatch struct {
 	gateway    *Gateway
@@ -120,6 +123,9 @@
 	var list httpwire.EndpointList
 	limits := httpwire.ListLimits{Endpoints: g.options.MaxListEntries, Zones: g.options.Settings.Zones}
 	err := g.discovery.get(ctx, addr, addr, path, timeout, func(status int, _ http.Header, body io.Reader) (err error) {
+		if status == http.StatusServiceUnavailable {
+			return errUnavailable
+		}
 		if status != http.StatusOK {
 			return fmt.Errorf("status %d", status)
 		}
--- a/internal/gateway/discoverypoll.go
+++ b/internal/gateway/discoverypoll.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"archknot/internal/connpool"
 	"archknot/internal/httpwire"
 )
 
@@ -36,7 +37,8 @@
 	begunAt time.Time
 }
 
-// unreachableWithin is how soon a connect fails where nobody listens.
+// unreachableWithin is how soon a call fails where discovery serves none. One that was accepted, or that
+// waited in discovery's queue, fails later.
 const unreachableWithin = 500 * time.Millisecond
 
 // outcome returns how the call ended.
@@ -64,10 +66,14 @@
 	return took
 }
 
-// foundUnreachable reports whether the call's failure shows that nobody listens at discovery's address. A service
-// that accepted the call or let it wait may have had changes.
+// foundUnreachable reports whether the call's failure shows that discovery could not be reached when the
+// call began: it was refused, reset or answered with 503 at once. A shortage on this machine shows nothing of
+// discovery, nor does a connection that had been idle.
 func (p *discoveryPoll) foundUnreachable(err error) bool {
-	return errors.Is(err, errNotConnected) && time.Since(p.begunAt) < unreachableWithin
+	if time.Since(p.begunAt) >= unreachableWithin || errors.Is(err, connpool.ErrLocalShortage) {
+		return false
+	}
+	return errors.Is(err, errNotConnected) || errors.Is(err, errConnClosed) || errors.Is(err, errUnavailable)
 }
 
 // log writes a line about the poll.
--- a/internal/gateway/discoverypoll_test.go
+++ b/internal/gateway/discoverypoll_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"archknot/internal/connpool"
 	"archknot/internal/httpwire"
 )
 
@@ -47,6 +50,65 @@
 	return <-g.loop.events, g
 }
 
+func reset(c net.Conn) {
+	c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+const unavailable = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+// The list is trusted for longer only where a failed call shows that discovery served nobody when the call began:
+// the answer 503 counted as a discovery that could be reached, so that service ended in an outage of 8 s.
+func TestFailuresThatShowDiscoveryUnreachable(t *testing.T) {
+	const late = unreachableWithin + 100*time.Millisecond
+	for name, c := range map[string]struct {
+		answer      discoveryCall
+		unreachable bool
+	}{
+		"503 at once":   {func(c net.Conn, _ int) { io.WriteString(c, unavailable) }, true},
+		"reset at once": {func(c net.Conn, _ int) { reset(c) }, true},
+		"closed":        {func(c net.Conn, _ int) { c.Close() }, true},
+		"503 behind a queue": {func(c net.Conn, _ int) {
+			time.Sleep(late)
+			io.WriteString(c, unavailable)
+		}, false},
+		"a watch that is reset": {func(c net.Conn, _ int) {
+			time.Sleep(late)
+			reset(c)
+		}, false},
+		"another status": {func(c net.Conn, _ int) { io.WriteString(c, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n") }, false},
+		"malformed":      {func(c net.Conn, _ int) { io.WriteString(c, "noise\n\n") }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			begun := time.Now()
+			e, g := pollOnce(t, 7, c.answer, time.Second)
+			failed, ok := e.(listPollFailed)
+			if !ok || failed.unreachable != c.unreachable {
+				t.Errorf("%#v, want unreachable %t", e, c.unreachable)
+			}
+			if asOf := g.clock.timeAt(failed.asOf); asOf.After(begun.Add(100 * time.Millisecond)) {
+				t.Errorf("as of %v after the call began", asOf.Sub(begun))
+			}
+		})
+	}
+}
+
+// A connection that had been idle and is reset shows nothing of discovery, nor does a shortage on this machine:
+// with either taken for an outage, the list would be trusted past the term.
+func TestFailuresThatShowNothingOfDiscovery(t *testing.T) {
+	poll := discoveryPoll{begunAt: time.Now()}
+	for _, err := range []error{
+		fmt.Errorf("%w: %w", errNotConnected, connpool.ErrLocalShortage),
+		fmt.Errorf("no answer: %w", markClosed(&connpool.Conn{Reused: true}, io.EOF)),
+		context.Canceled,
+	} {
+		if poll.foundUnreachable(err) {
+			t.Errorf("%v counts as unreachable", err)
+		}
+	}
+}
+
 // What discovery sent is dated by the call, not by its arrival: an answer that was long under way says nothing
 // of the changes behind it.
 func TestListIsDatedByItsCall(t *testing.T) {
--- a/internal/gateway/pooledclient.go
+++ b/internal/gateway/pooledclient.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"archknot/internal/connpool"
@@ -20,6 +21,8 @@
 var (
 	// errNotConnected marks a call that never reached the other side.
 	errNotConnected = errors.New("connect")
+	// errConnClosed marks a call whose new connection was closed or reset before an answer began.
+	errConnClosed = errors.New("closed without an answer")
 	// errAnswerCutOff says that an answer did not end, or not within maxShortBody of what was
 	// read of it.
 	errAnswerCutOff = errors.New("answer cut off or too long")
@@ -54,7 +57,7 @@
 		}
 	}()
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
-		return fmt.Errorf("write: %w", err)
+		return fmt.Errorf("write: %w", markClosed(conn, err))
 	}
 	deadline, _ := ctx.Deadline() // it has one
 	conn.SetDeadline(deadline)
@@ -66,7 +69,7 @@
 func readAnswer(conn *connpool.Conn, deadline time.Time, read answerReader) (reusable bool, err error) {
 	head, err := readHead(conn, deadline)
 	if err != nil {
-		return false, fmt.Errorf("no answer: %w", err)
+		return false, fmt.Errorf("no answer: %w", markClosed(conn, err))
 	}
 	body := httpwire.NewBody(conn.Reader, head.Response)
 	content := body.Reader()
@@ -78,6 +81,15 @@
 	return complete && endsCleanly(conn, head, body), err
 }
 
+// markClosed adds errConnClosed to an error that shows the end of a new connection.
+func markClosed(conn *connpool.Conn, err error) error {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if ended && !conn.Reused {
+		return fmt.Errorf("%w: %w", errConnClosed, err)
+	}
+	return err
+}
+
 // drainBody reads the remainder of a body, and reports whether its end was reached.
 func drainBody(body io.Reader) bool {
 	limited := io.LimitedReader{R: body, N: maxShortBody}
