--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -1,18 +1,26 @@
 package balancer
 
-import "cmp"
+import (
+	"cmp"
+	"math"
+)
 
 // Following discovery: applying its endpoint lists, polling it again after failures, and
 // how long a list is trusted.
 
 const (
-	// listGracePeriod is the protocol's term for a change of the list: whatever became of a
+	// notifiedWithin is the protocol's term for a change of the list: whatever became of a
 	// call, a gateway counts as notified so long after discovery had the change and could
 	// be reached.
-	listGracePeriod Micros = 6_000_000
+	notifiedWithin Micros = 6_000_000
+	// writeDelay is how much later than its decision an attempt may be written: a gateway may
+	// be held up for half of it between reading its clock and writing.
+	writeDelay Micros = 300_000
+	// minLocalTrust is how long the list of an agent on this machine is trusted at least.
+	minLocalTrust Micros = 2_000_000
 	// pollBackoffMin and pollBackoffMax bound the backoff after a failed call where
 	// discovery takes the calls of all gateways at once: with a short call before and one
-	// after it well within listGracePeriod. localPollBackoff is the backoff for an agent on
+	// after it well within notifiedWithin. localPollBackoff is the backoff for an agent on
 	// this machine, which answers at no cost.
 	pollBackoffMin, pollBackoffMax, localPollBackoff Micros = 250_000, 1_000_000, 200_000
 	// watchRetryInterval is when a watch is repeated that has no answer at all.
@@ -22,11 +30,19 @@
 	discoveryCallTime, maxPollSpread Micros = 110_000, 8_000_000
 	// unspreadCallTime is what the calls of all gateways may take together without a spread.
 	unspreadCallTime Micros = 500_000
-	// confirmAhead is how long before its entry may be stale a replica is checked, and
-	// confirmInterval how often.
-	confirmAhead, confirmInterval Micros = 1_500_000, 500_000
 )
 
+// ListTrust is how long the list may be used from the time up to which all its changes are
+// known: an attempt that is written by then is within the grace of any change. An agent's
+// changes count as known once the agent has them.
+func (s *Settings) ListTrust() Micros {
+	grace := max(0, s.DrainGrace-writeDelay)
+	if s.LocalDiscovery {
+		return max(minLocalTrust, grace)
+	}
+	return notifiedWithin + grace
+}
+
 // discoveryState is the state of the watch of discovery.
 type discoveryState struct {
 	listReceived bool // discovery itself has sent a list
@@ -121,26 +137,26 @@
 	b.nextPollAt = now + int64(float64(b.pollBackoff)*(0.5+0.5*b.random()))
 }
 
-// mayBeStale reports whether a replica may be draining or gone without this gateway's
-// knowledge: discovery has not answered for as long as a change may take, and the replica
-// has neither taken work nor passed a health check, which a draining one does not.
-func (b *Balancer) mayBeStale(now Micros, row *replicaRow) bool {
-	return b.settings.WatchInterval > 0 && now-max(b.lastHeardAt, row.confirmedReadyAt) >= listGracePeriod
+// ListAge is the time since discovery's last word: up to then all changes of the list are known.
+func (b *Balancer) ListAge(now Micros) Micros { return now - b.lastHeardAt }
+
+// ListTrustedUntil is the time up to which attempts may be written by the list: later a
+// replica may drain or be gone, and the grace for it be over, without this gateway's
+// knowledge. No answer of a replica's shows otherwise: one that drains may take work and pass
+// health checks, and so may its next process before it is listed.
+func (b *Balancer) ListTrustedUntil() Micros {
+	if b.settings.WatchInterval <= 0 { // no word of discovery's means that nothing has changed
+		return math.MaxInt64
+	}
+	return b.lastHeardAt + b.settings.ListTrust()
 }
 
-// followDiscovery polls discovery when that is due, and checks replicas before their
-// entries may be stale. In large fleets requests poll replicas: see pollShortlist.
+// ListStale reports whether the list is too old for new attempts.
+func (b *Balancer) ListStale(now Micros) bool { return now >= b.ListTrustedUntil() }
+
+// followDiscovery polls discovery when that is due.
 func (b *Balancer) followDiscovery(now Micros) {
 	if b.nextPollAt > 0 && now >= b.nextPollAt && !b.watching {
 		b.watch(now)
 	}
-	const confirmAfter = listGracePeriod - confirmAhead
-	if b.settings.WatchInterval <= 0 || !b.settings.MayHealthCheck || b.largeFleet() || now-b.lastHeardAt < confirmAfter {
-		return
-	}
-	for _, row := range b.rows {
-		if row.state == EndpointReady && !row.healthCheckPending && now-row.confirmedReadyAt >= confirmAfter && now-row.healthCheckedAt >= confirmInterval {
-			b.sendHealthCheck(now, row)
-		}
-	}
 }
--- a/balancer/discovery_test.go
+++ b/balancer/discovery_test.go
@@ -139,84 +139,88 @@
 }
 
 // Where discovery can be reached and its calls fail all the same, a replica may drain without a
-// gateway's knowledge: six seconds after the last list only those get new work that have passed a
-// health check or taken work. Where discovery is unreachable the list stands.
-func TestStaleListIsTrustedForSixSeconds(t *testing.T) {
-	for _, gateways := range []int{3, 80} {
+// gateway's knowledge: from six seconds and the grace after the last word no replica gets new
+// work, also none that has passed a health check or taken work since, which a draining one may
+// do. While discovery cannot be reached the list stands. (Incident 49: a first token and a
+// passed health check counted as proof that a replica does not drain.)
+func TestStaleListIsNotUsed(t *testing.T) {
+	const grace = 2_500_000
+	for _, gateways := range []int{1, 3, 30, 80, 200, 900} {
 		s := eightyGateways()
-		s.Gateways = gateways
-		b, rec := silence(t, s, 105*second, ListFailed)
-		if dispatched(b, rec, 105*second+1, testRequest(1)) == 0 && gateways == 3 {
-			t.Fatal("nothing is sent within the six seconds")
+		s.Gateways, s.DrainGrace = gateways, grace
+		last := 100*second + notifiedWithin + grace - writeDelay // the list is of 100 s
+		b, rec := silence(t, s, 107*second, ListFailed)
+		if to, _ := placed(b, rec, last-second, 1); to == 0 {
+			t.Errorf("%d gateways: nothing is sent while the list is trusted", gateways)
 		}
 		b, rec = silence(t, s, 107*second, ListFailed)
-		checked := healthChecked(rec)
-		if gateways == 3 && len(checked) < 4 {
-			t.Errorf("%d replicas checked", len(checked))
-		}
-		now := 107*second + 1
-		r := testRequest(2)
-		rec.acts = nil
-		b.RequestArrived(now, r)
-		acts := slices.Clone(rec.acts)
-		if got := rec.take("dispatch"); len(got) > 0 {
-			t.Errorf("%d gateways: sent to %d of an old list", gateways, got[0].to)
-		}
-		if gateways == 80 {
-			checked = healthChecked(&recorder{acts: acts})
-		}
-		if len(checked) == 0 {
-			t.Fatal("nobody is polled")
-		}
-		for i, w := range checked { // the first is draining: it answers with 503
-			b.HealthCheckEnded(now+second/100, Outcome{Replica: w, Status: []Status{Errored, Served}[min(i, 1)], Report: reportInFlight(1)})
-		}
+		giveSignsOfLife(b, last-second)
 		for id := range RequestID(12) {
-			rec.acts = nil
-			b.RequestArrived(now+second/50, testRequest(10+id))
-			b.TimerFired(now+second/50+pollTimeout, uint64(10+id)<<timerBits|timerPoll)
-			got := append(rec.take("dispatch"), recordedAction{})[0].to
-			if got == checked[0] || got != 0 && !slices.Contains(checked, got) {
-				t.Errorf("%d gateways: sent to %d, of which there was no sign", gateways, got)
+			if to, shed := placed(b, rec, last, 10+id); to != 0 || !shed {
+				t.Errorf("%d gateways: with a stale list sent to %d, shed %t", gateways, to, shed)
 			}
 		}
 		b, rec = silence(t, s, 130*second, ListUnreachable)
-		rec.acts = nil
-		b.RequestArrived(130*second+1, testRequest(3))
-		if len(rec.acts) == 0 || slices.ContainsFunc(rec.acts, func(a recordedAction) bool { return a.what == "shed" }) {
+		if to, _ := placed(b, rec, 130*second+1, 3); to == 0 {
 			t.Errorf("%d gateways: nothing is sent while discovery is unreachable", gateways)
 		}
 	}
 }
 
-// An attempt that no warming replica is offered to goes to none whose entry may be stale either,
-// also where its request has just arrived and polls replicas.
-func TestStaleReplicaNeverReplacesAWarmingOne(t *testing.T) {
+// placed returns where a request goes whose health checks all pass, 0 if nowhere, and whether it is shed.
+func placed(b *Balancer, rec *recorder, now Micros, id RequestID) (to ReplicaID, shed bool) {
+	rec.acts = nil
+	b.RequestArrived(now, testRequest(id))
+	giveSignsOfLife(b, now)
+	b.TimerFired(now+pollTimeout, timerToken(timerPoll, id))
+	for _, a := range rec.acts {
+		if a.what == "dispatch" {
+			to = a.to
+		}
+		shed = shed || a.what == "shed"
+	}
+	return to, shed
+}
+
+// giveSignsOfLife has all replicas pass a health check, with a fresh report.
+func giveSignsOfLife(b *Balancer, now Micros) {
+	for _, endpoint := range b.Endpoints() {
+		b.HealthCheckEnded(now, Outcome{Replica: endpoint.Replica, Status: Served, Report: reportInFlight(1)})
+	}
+}
+
+// A stale list is used for no further attempt either: a retry and a hedge choose late.
+func TestStaleListIsNotUsedForRetriesAndHedges(t *testing.T) {
 	s := eightyGateways()
-	s.PollDiscovery, s.WatchInterval = true, 2*second
-	endpoints := fleet(4)
-	for i := range 3 { // the fourth has been running for long, and may be stale
-		endpoints[i].StartedAt = 105 * second
+	s.Gateways, s.DrainGrace, s.MayHedge = 3, 2_500_000, true
+	b, rec := silence(t, s, 107*second, ListFailed)
+	now := b.ListTrustedUntil() - 1
+	first := dispatched(b, rec, now, testRequest(1))
+	if first == 0 {
+		t.Fatal("nothing is sent while the list is trusted")
 	}
-	for seed := range RequestID(40) {
-		b, rec := startBalancer(t, s, endpoints...)
-		b.refreshEstimates(107 * second)
-		for _, row := range b.rows {
-			row.reportedAt = 107 * second // nobody is polled: all reports are fresh
+	b.TimerFired(now+2, timerToken(timerHedge, 1))
+	b.AttemptEnded(now+3, Outcome{ID: 1, Replica: first, Status: ConnBroken})
+	for _, a := range rec.acts[1:] {
+		if a.what == "dispatch" {
+			t.Errorf("a further attempt went to %d", a.to)
 		}
-		for _, row := range b.rows[:3] {
-			row.slowness = 1e9 // no attempt is offered it
-			row.confirmedReadyAt = 106 * second
-		}
-		b.rows[3].healthCheckPending, b.rows[3].healthCheckedAt = true, 106*second+900_000 // nor can the fourth be polled
-		b.rows[3].reportedTokens, b.rows[3].backoffUntil = 1e9, 0
-		rec.acts = nil
-		b.rng = uint64(seed)*2 + 1
-		b.RequestArrived(107*second, testRequest(seed+1))
-		for _, a := range rec.take("dispatch") {
-			if a.to == 4 {
-				t.Fatal("sent to a replica of an old list that gave no sign")
-			}
+	}
+	if last := rec.acts[len(rec.acts)-1]; last.what != "shed" {
+		t.Errorf("the request ended with %q", last.what)
+	}
+}
+
+// The list of an agent on this machine counts as known at once: it is trusted for the grace
+// alone. Without a grace in the settings there is time for a call to the agent.
+func TestTrustFollowsTheSettings(t *testing.T) {
+	for _, c := range []struct {
+		local        bool
+		grace, trust Micros
+	}{{false, 0, 6_000_000}, {false, 2_500_000, 8_200_000}, {true, 2_500_000, 2_200_000}, {true, 0, minLocalTrust}} {
+		s := Settings{LocalDiscovery: c.local, DrainGrace: c.grace}
+		if got := s.ListTrust(); got != c.trust {
+			t.Errorf("%+v: trusted for %d", c, got)
 		}
 	}
 }
--- a/balancer/healthcheck.go
+++ b/balancer/healthcheck.go
@@ -96,7 +96,6 @@
 // healthCheckPassed takes the report of a replica that has passed a health check, and
 // shares it with the other gateways.
 func (b *Balancer) healthCheckPassed(now Micros, row *replicaRow, report LoadReport) {
-	row.confirmedReadyAt = row.healthCheckedAt
 	b.applyReport(now, row, report)
 	if row.backoffUntil > 0 && row.errorRate < healthyErrorRate {
 		row.clearFailures()
--- a/balancer/introspect.go
+++ b/balancer/introspect.go
@@ -35,16 +35,6 @@
 	return now - row.reportedAt, true
 }
 
-// ListAge is the time since discovery's last word: up to then the Balancer knows of all
-// changes of the endpoint list.
-func (b *Balancer) ListAge(now Micros) Micros { return now - b.lastHeardAt }
-
-// ListStale reports whether a change of the endpoint list may count as known although the
-// Balancer does not have it.
-func (b *Balancer) ListStale(now Micros) bool {
-	return b.settings.WatchInterval > 0 && b.ListAge(now) >= listGracePeriod
-}
-
 // PrefixShare is a low estimate of a prefix's share of the requests: while few were seen,
 // one sight says little.
 func (b *Balancer) PrefixShare(prefix uint64) float64 {
@@ -167,9 +157,8 @@
 		return "its zone is lost"
 	case !lastResort && b.healthCheckOverdue(now, row):
 		return "a health check is overdue"
-	case b.mayBeStale(now, row) && (b.settings.MayHealthCheck || !lastResort):
-		silence := now - max(b.lastHeardAt, row.confirmedReadyAt)
-		return fmt.Sprintf("no answer of discovery for %.3f s, and no sign of life from the replica", float64(silence)/microsPerSecond)
+	case b.ListStale(now):
+		return fmt.Sprintf("no word of discovery for %.3f s", float64(b.ListAge(now))/microsPerSecond)
 	case !lastResort && row.onTrial():
 		return "on trial after a failure, with one attempt in flight"
 	}
--- a/balancer/loadtable.go
+++ b/balancer/loadtable.go
@@ -73,10 +73,9 @@
 	slownessSum, slownessCount float64 // decaying sum and count of observed slowness
 	slownessAt                 Micros  // the last observation
 
-	liveLoad         float64 // load by the last live weight
-	healthCheckedAt  Micros  // the last health check
-	confirmedReadyAt Micros  // when it last took work or passed a health check
-	warmingSince     Micros  // start of slow start
+	liveLoad        float64 // load by the last live weight
+	healthCheckedAt Micros  // the last health check
+	warmingSince    Micros  // start of slow start
 }
 
 const (
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -26,13 +26,6 @@
 		b.breakdowns = b.breakdowns[:0]
 		return nil, 0, true
 	}
-	polled := b.mayPoll
-	b.mayPoll = false // from here on the attempt goes out, and to none whose entry may be stale
-	if first := b.shortlist[0].row; polled && first != nil && b.mayBeStale(now, first) {
-		// It was accepted to be polled, and cannot be polled now.
-		b.breakdowns = b.breakdowns[:0]
-		b.scan(now, req)
-	}
 	best, cachedTokens = b.shortlist[0].row, b.shortlist[0].cachedTokens
 	if b.interceptor != nil {
 		best, cachedTokens = b.interceptPick(req, best, cachedTokens)
@@ -65,7 +58,7 @@
 
 // eligible reports whether an attempt of a request may go to a replica at all.
 func (b *Balancer) eligible(now Micros, row *replicaRow, req *request, lastResort bool) bool {
-	if row.state != EndpointReady { // rule 3
+	if row.state != EndpointReady || b.ListStale(now) { // rule 3
 		return false
 	}
 	if !lastResort && (now < row.backoffUntil || !b.zoneOpen(now, row) || row.onTrial()) {
@@ -74,9 +67,6 @@
 	if !lastResort && b.healthCheckOverdue(now, row) {
 		return false
 	}
-	if b.mayBeStale(now, row) && !b.mayPoll && (b.settings.MayHealthCheck || !lastResort) {
-		return false
-	}
 	for _, a := range req.attempts {
 		if a.row == row && (!lastResort || !a.ended) {
 			return false
--- a/balancer/polling.go
+++ b/balancer/polling.go
@@ -61,7 +61,7 @@
 
 // needsPoll reports whether what is known of a replica is too old for a pick.
 func (b *Balancer) needsPoll(now Micros, row *replicaRow) bool {
-	return !row.healthCheckPending && (row.reportedAt < 0 || now-row.reportedAt > pollReportAge || b.mayBeStale(now, row))
+	return !row.healthCheckPending && (row.reportedAt < 0 || now-row.reportedAt > pollReportAge)
 }
 
 // addRandomCandidate puts a random replica, or the warming one on offer, in the last place
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -256,7 +256,6 @@
 	a.timeToFirstToken = max(1, outcome.Elapsed)
 	b.releasePrefill(a)
 	b.recordAnswer(now, a.row, Served, false)
-	a.row.confirmedReadyAt = max(a.row.confirmedReadyAt, a.sentAt)
 	b.learnFirstToken(now, a)
 	if !req.streaming && !req.ended {
 		req.streaming = true
--- a/balancer/settings.go
+++ b/balancer/settings.go
@@ -99,6 +99,9 @@
 	// WatchInterval is the longest time that discovery takes to answer a watch; 0: no
 	// answer means that nothing has changed.
 	WatchInterval Micros `json:"WatchWait"`
+	// DrainGrace is how long after it counts as known that a replica drains or is gone attempts
+	// may still be sent there.
+	DrainGrace Micros `json:",omitempty"`
 	// Tick is the least time between two rounds of events.
 	Tick Micros
 
@@ -153,7 +156,7 @@
 		return errMaxAttempts
 	case s.SlowStartFor > 0 && (s.InitialCapacity <= 0 || s.InitialCapacity > 1):
 		return errInitialCapacity
-	case s.SlowStartFor < 0 || s.OverloadWindow < 0 || s.OverloadMultiple < 0 || s.Tick < 0:
+	case s.SlowStartFor < 0 || s.OverloadWindow < 0 || s.OverloadMultiple < 0 || s.Tick < 0 || s.DrainGrace < 0:
 		return errNegativeSetting
 	}
 	for _, class := range s.Classes {
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -389,8 +389,9 @@
 	integer(a, 27, &row.healthCheckedAt)
 	integer(a, 28, &row.warmingSince)
 	integer(a, 29, &row.warmingUntil)
-	integer(a, 31, &row.confirmedReadyAt)
-	a.skip(23, 30, 32) // what a warming one was sent, in builds before 1.4, or wanted for, in those of 1.5
+	// What a warming one was sent, in builds before 1.4, or wanted for, in those of 1.5; and when it
+	// had last taken work or passed a health check, before 1.7.
+	a.skip(23, 30, 31, 32)
 	row.hash = splitmix(uint64(row.id))
 }
 
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -100,6 +100,7 @@
 	shedReasonAttemptsFailed = "attempts_failed"
 	shedReasonAdmission      = "admission"
 	shedReasonDraining       = "draining"
+	shedReasonListStale      = "list_stale"
 )
 
 // nearDeadline is how long before a request's deadline its shedding is put down to that.
@@ -115,6 +116,8 @@
 		return shedReasonDeadline
 	case l.endpoints.ReadyCount() == 0:
 		return shedReasonNoReplica
+	case l.balancer.ListStale(l.now):
+		return shedReasonListStale
 	case len(r.Attempts) > 0:
 		return shedReasonAttemptsFailed
 	}
--- a/internal/lifecycle/unknownkeys.go
+++ b/internal/lifecycle/unknownkeys.go
@@ -44,7 +44,6 @@
 	{"settings.penalties.peer", "gateways do not gossip"},
 	{"settings.penalties.waste", "attempts are bounded by budgets"},
 	{"settings.rules.answerSlackUs", "no slack is used"},
-	{"settings.rules.stopSendingWithinUs", "nothing is dispatched once a drain is known"},
 	{"settings.stages", "there is one"},
 	{"settings.tenants.fraction", "about the simulator's traffic"},
 	{"settings.tier", "there is one"},
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -48,6 +48,7 @@
 		ColdUs        int64   `json:"coldUs"`
 		FallMultiple  float64 `json:"fallMultiple"`
 		TipAfterUs    int64   `json:"tipAfterUs"`
+		StopSendingUs int64   `json:"stopSendingWithinUs"`
 	} `json:"rules"`
 	Penalties struct {
 		CrossZone float64 `json:"crossZone"`
@@ -154,6 +155,7 @@
 		OverloadMultiple: in.Rules.FallMultiple,
 		SlowStartFor:     in.Rules.ColdUs,
 		OverloadWindow:   in.Rules.TipAfterUs,
+		DrainGrace:       in.Rules.StopSendingUs,
 		CrossZoneCost:    in.Penalties.CrossZone,
 		HealthCheckCost:  in.Penalties.Probe,
 		HandshakeCost:    in.Penalties.Handshake,
@@ -216,6 +218,7 @@
 	out.Rules.ColdUs = s.SlowStartFor
 	out.Rules.FallMultiple = s.OverloadMultiple
 	out.Rules.TipAfterUs = s.OverloadWindow
+	out.Rules.StopSendingUs = s.DrainGrace
 
 	out.Penalties.CrossZone = s.CrossZoneCost
 	out.Penalties.Probe = s.HealthCheckCost
