gateway: an attempt whose connection comes up late is not written on a stale list

Drains that had arrived meanwhile were looked at before the write (acceptsWork), the age of the list was not.

The event loop publishes until when the list may be used, and acceptsWork, which is read right before the write, compares it with the clock. The attempt ends as not_sent, which proves that it never ran.

TestAttemptIsNotWrittenWithAStaleList fails without the comparison (served, one attempt).

--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -180,6 +180,7 @@
 	default:
 	}
 	l.module.ListChanged(l.now, balancer.EndpointList{Kind: kind, AsOf: e.asOf})
+	l.publishListTrust()
 	close(e.handled)
 }
 
@@ -236,6 +237,7 @@
 	change = l.endpoints.view.Apply(l.now, change)
 	change.AsOf = asOf
 	l.module.ListChanged(l.now, change)
+	l.publishListTrust()
 	l.endpoints.receivedAt = l.gateway.clock.timeAt(l.now)
 }
 
@@ -252,6 +254,11 @@
 	}
 }
 
+// publishListTrust tells the goroutines of attempts how long the list may be used.
+func (l *eventLoop) publishListTrust() {
+	l.gateway.listTrustedUntil.Store(l.balancer.ListTrustedUntil())
+}
+
 // updateReady makes the gateway ready once a replica can take work. The cached list is
 // enough: when all gateways restart at once, discovery does not get to some of them for
 // seconds.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,8 +45,9 @@
 	// replicas never use up its share.
 	pool              *connpool.Pool
 	discovery         pooledClient
-	discoveryMoves    chan string // discovery's next address; only the latest counts
-	discoveryAnswered atomic.Bool // discovery itself has answered
+	discoveryMoves    chan string  // discovery's next address; only the latest counts
+	discoveryAnswered atomic.Bool  // discovery itself has answered
+	listTrustedUntil  atomic.Int64 // when the list becomes too old for new attempts, on the clock
 
 	// Contracts.
 	ledgerWriter *ledger.Writer // nil: balances are not stored
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -55,6 +55,7 @@
 		return nil, err
 	}
 	l.module = l.balancer
+	l.publishListTrust()
 	l.endpoints = newEndpointTracker(g.options.Subset, l.balancer)
 	if g.options.Orders != nil {
 		l.endpoints.ejected = g.options.Orders.AllEjected()
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -172,7 +172,7 @@
 // attempt is sent; any goroutine may call it.
 func (g *Gateway) acceptsWork(replica *endpoint.Replica) bool {
 	id := replica.Endpoint.ID
-	return replica.Accepting() && (g.options.Orders == nil || !g.options.Orders.Ejected(id) && !g.pendingEjections.has(id))
+	return g.clock.now() < g.listTrustedUntil.Load() && replica.Accepting() && (g.options.Orders == nil || !g.options.Orders.Ejected(id) && !g.pendingEjections.has(id))
 }
 
 // ejectionsChanged: operators have ejected or reinstated replicas.
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"archknot/balancer"
+	"archknot/internal/endpoint"
 	"archknot/internal/httpwire"
 	"archknot/internal/inflight"
 )
@@ -28,21 +29,7 @@
 			ordered := l.endpoints.ByName("s-1")
 			change(&entry)
 			l.receiveList(httpwire.EndpointList{Reset: kind == balancer.ListFull, Endpoints: []httpwire.Endpoint{entry}}, kind, l.now)
-			store := inflight.NewTable()
-			r := inflight.NewRequest(context.Background(), "a1", balancer.Request{}, 0, 3)
-			store.Add(r)
-			d := store.StartAttempt(r, ordered, l.now, l.now+5_000_000)
-			go func() {
-				for range d.Events {
-				}
-			}()
-			in, _ := http.NewRequest("POST", httpwire.CompletionsPath, nil)
-			in.RequestURI = httpwire.CompletionsPath
-			go (&attemptExchange{gateway: g, request: in, body: nil, attempt: d}).run()
-			got := attemptEnded{}
-			for ok := false; !ok; {
-				got, ok = (<-g.loop.events).(attemptEnded)
-			}
+			got := runAttempt(g, ordered)
 			_, attempts := w.counts()
 			if name == "still there" && (got.status != balancer.Served || attempts != 1) || name != "still there" && (got.status != balancer.NotSent || attempts != 0) {
 				t.Errorf("%s, list %d: status %d, %d attempts", name, kind, got.status, attempts)
@@ -50,3 +37,41 @@
 		}
 	}
 }
+
+// An attempt that was decided while the list could be used, and whose connection came up when it no longer could, is
+// not written: its replica may drain, and the grace be over.
+func TestAttemptIsNotWrittenWithAStaleList(t *testing.T) {
+	for trustLeft, want := range map[balancer.Micros]balancer.Status{5_000_000: balancer.Served, 0: balancer.NotSent} {
+		w := newFakeReplica(t, "s-1", answerCompletely)
+		g := newTestGateway(t, testOptions())
+		l := g.loop
+		l.now = g.clock.now()
+		entry := httpwire.Endpoint{ID: "s-1", Addr: w.addr, Zone: "a", Kind: "k", Lifecycle: "ready"}
+		l.receiveList(httpwire.EndpointList{Reset: true, Endpoints: []httpwire.Endpoint{entry}}, balancer.ListFull, l.now)
+		g.listTrustedUntil.Store(l.now + trustLeft)
+		got := runAttempt(g, l.endpoints.ByName("s-1"))
+		if _, attempts := w.counts(); got.status != want || (attempts == 1) != (want == balancer.Served) {
+			t.Errorf("with %d us left: status %d, %d attempts", trustLeft, got.status, attempts)
+		}
+	}
+}
+
+// runAttempt carries out an attempt at a replica, and returns its end.
+func runAttempt(g *Gateway, replica *endpoint.Replica) attemptEnded {
+	table := inflight.NewTable()
+	r := inflight.NewRequest(context.Background(), "a1", balancer.Request{}, 0, 3)
+	table.Add(r)
+	attempt := table.StartAttempt(r, replica, g.loop.now, g.loop.now+5_000_000)
+	go func() {
+		for range attempt.Events {
+		}
+	}()
+	in, _ := http.NewRequest(http.MethodPost, httpwire.CompletionsPath, nil)
+	in.RequestURI = httpwire.CompletionsPath
+	go (&attemptExchange{gateway: g, request: in, body: nil, attempt: attempt}).run()
+	for {
+		if ended, ok := (<-g.loop.events).(attemptEnded); ok {
+			return ended
+		}
+	}
+}
