balancer: the next call to discovery begins within the term at any fleet size

Now, with fleets of 5 gateways and more on sockets: the first call after an open watch has ended begins within half a spread from that moment (0 to 4 s; before, 4 to 8 s: the same number of calls a second); calls while discovery is unreachable, which cost it nothing, begin before the list is stale (7.7 s at most); and a wait is 8 s at most in place of 16 s.

--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -122,16 +122,24 @@
 // even connect has cost discovery nothing, says nothing of its load, and shows that there
 // was no change to be notified of until now.
 func (b *Balancer) scheduleNextPoll(now Micros, unreachable bool) {
-	b.watching = false
 	spread := b.pollSpread()
-	least, most := max(pollBackoffMin, spread), max(pollBackoffMax, 2*spread)
+	if b.watching && !unreachable && spread > 0 && b.settings.WatchInterval > 0 {
+		// An open watch has ended. All may have, at once: their next calls are spread, but begin now.
+		b.watching = false
+		b.nextPollAt = now + int64(b.random()*float64(spread)/2)
+		return
+	}
+	b.watching = false
+	least, most := max(pollBackoffMin, spread), max(pollBackoffMax, spread)
 	switch {
 	case b.settings.LocalDiscovery:
 		least, most = localPollBackoff, localPollBackoff
 	case unreachable && !b.listReceived && b.readyCount == 0: // it cannot serve before
 		least, most = max(pollBackoffMin, spread/8), max(pollBackoffMax, spread/4)
 	case unreachable:
-		most = max(pollBackoffMax, spread)
+		// The next call begins while the list is still used: nobody is served, so it costs nothing.
+		most = min(max(pollBackoffMax, spread), b.settings.ListTrust()-2*tickEvery)
+		least = min(least, most)
 	}
 	b.pollBackoff = min(most, max(least, 2*b.pollBackoff))
 	b.nextPollAt = now + int64(float64(b.pollBackoff)*(0.5+0.5*b.random()))
--- a/balancer/discovery_test.go
+++ b/balancer/discovery_test.go
@@ -358,3 +358,37 @@
 		t.Fatal("polled while watching")
 	}
 }
+
+// However many gateways there are, the call after an open watch has ended begins within the half of a spread, and
+// those while discovery is unreachable begin before the list is stale: waits grew with the fleet to 8 and 16 s, and the
+// term for a change does not.
+func TestPollsBeginWithinTheTermAtAnyFleetSize(t *testing.T) {
+	for _, gateways := range []int{1, 3, 10, 30, 80, 200, 300, 900} {
+		for seed := range uint64(20) {
+			s := eightyGateways()
+			s.Gateways, s.DrainGrace, s.PollDiscovery, s.WatchInterval = gateways, 2_500_000, true, 2*second
+			b, _ := New(s, seed+1, &recorder{})
+			b.Start(100 * second)
+			now := 110 * second
+			b.ListChanged(now, EndpointList{Kind: ListFull, Endpoints: fleet(2)})
+			b.ListChanged(now+second, EndpointList{Kind: ListFailed})
+			if begins := b.nextPollAt + tickEvery; begins > now+second+maxPollSpread/2+tickEvery || begins >= b.ListTrustedUntil() {
+				t.Errorf("%d gateways: after an open watch has ended, polled after %d us", gateways, begins-now-second)
+			}
+			for range 8 {
+				now = b.nextPollAt
+				b.ListChanged(now, EndpointList{Kind: ListUnreachable})
+				if begins := b.nextPollAt + tickEvery; begins >= b.ListTrustedUntil() {
+					t.Errorf("%d gateways: while discovery is unreachable, polled after %d us", gateways, begins-now)
+				}
+			}
+			for range 8 {
+				now = b.nextPollAt
+				b.ListChanged(now, EndpointList{Kind: ListFailed})
+				if wait := b.nextPollAt - now; wait > maxPollSpread {
+					t.Errorf("%d gateways: after calls that failed late, polled after %d us", gateways, wait)
+				}
+			}
+		}
+	}
+}
