discovery: a silent watch is noticed, and asked again, before the list is stale

The wait is what fits (MaxWatchWait): the list's trust, less an answer's transit, the time until the silence is noticed (1.5 s for an open watch, which is in no queue), and a first call that is answered; 2.95 s with a grace of 2.5 s, at any fleet size. The first call of a watch is answered within 0.25 s, so that the list's age is known at once after a failure. The waits are drawn from three quarters to all, so that watches that one change has answered do not all call again at once if they fall silent. An answer is dated 1 s back at most.

Price: an idle watch is renewed every 2.2 to 3 s in place of every 7.5 s from 30 gateways on (as before up to 8 gateways).

--- a/cmd/archknot/drain_test.go
+++ b/cmd/archknot/drain_test.go
@@ -109,6 +109,7 @@
 	// discovery could be reached; zero: always.
 	play     func(d *drainDeployment) (change int, reachableFrom time.Time)
 	restarts bool // the replica is restarted while it drains, and its next process takes work before it is listed
+	servesOn bool // the list never gets too old for new work
 }
 
 // drainDeployment is a gateway before replicas of which the first drains.
@@ -171,16 +172,16 @@
 }
 
 var drainCases = []drainCase{
-	{"silent watch, 3 gateways", 3, silentWatch(400 * time.Millisecond), false},
-	{"silent watch, 30 gateways", 30, silentWatch(400 * time.Millisecond), false},
-	{"silent watch, 200 gateways", 200, silentWatch(400 * time.Millisecond), false},
-	{"silent watch, 900 gateways", 900, silentWatch(time.Second), false},
-	{"silent watch, next process answers unlisted", 200, silentWatch(400 * time.Millisecond), true},
-	{"503 for 6 s, 3 gateways", 3, outage(discoveryUnavailable, 6*time.Second), false},
-	{"503 for 6 s, 200 gateways", 200, outage(discoveryUnavailable, 6*time.Second), false},
-	{"503 for 6 s, 900 gateways", 900, outage(discoveryUnavailable, 6*time.Second), false},
-	{"resets for 6 s, 200 gateways", 200, outage(discoveryResets, 6*time.Second), false},
-	{"no answers for 10 s, 200 gateways", 200, outage(discoverySilent, 10*time.Second), false},
+	{"silent watch, 3 gateways", 3, silentWatch(400 * time.Millisecond), false, true},
+	{"silent watch, 30 gateways", 30, silentWatch(400 * time.Millisecond), false, true},
+	{"silent watch, 200 gateways", 200, silentWatch(400 * time.Millisecond), false, true},
+	{"silent watch, 900 gateways", 900, silentWatch(time.Second), false, true},
+	{"silent watch, next process answers unlisted", 200, silentWatch(400 * time.Millisecond), true, true},
+	{"503 for 6 s, 3 gateways", 3, outage(discoveryUnavailable, 6*time.Second), false, true},
+	{"503 for 6 s, 200 gateways", 200, outage(discoveryUnavailable, 6*time.Second), false, true},
+	{"503 for 12 s, 900 gateways", 900, outage(discoveryUnavailable, 12*time.Second), false, true},
+	{"resets for 12 s, 200 gateways", 200, outage(discoveryResets, 12*time.Second), false, true},
+	{"no answers for 10 s, 200 gateways", 200, outage(discoverySilent, 10*time.Second), false, false},
 }
 
 // No work goes to a draining replica past the grace, counted from 6 s after discovery had the drain and could be
@@ -206,6 +207,9 @@
 			time.Sleep(time.Until(published.Add(drainFor)))
 			f.stopAndWait()
 			d.expectDrained(change, reachableFrom)
+			if n := f.failed.Load(); c.servesOn && n > 0 {
+				t.Errorf("%d requests were shed or failed", n)
+			}
 			p.signal(t, syscall.SIGTERM)
 			p.waitForExit(t)
 		})
--- a/cmd/archknot/fleet_test.go
+++ b/cmd/archknot/fleet_test.go
@@ -247,10 +247,10 @@
 				time.Sleep(10 * time.Millisecond)
 				return nil
 			}
-			conn.SetDeadline(time.Now().Add(waitLimit))
 			c = &testClient{Conn: conn, t: d.t}
 			c.reader = newReader(conn)
 		}
+		c.SetDeadline(time.Now().Add(waitLimit))
 		_, err := io.WriteString(c, text)
 		var resp *http.Response
 		if err == nil {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -20,13 +21,14 @@
 	gateway    *Gateway
 	addr       string
 	generation int64 // of the list in force; httpwire.NoGeneration: the next call gets the full list
+	continues  bool  // discovery answered the last call, and so serves the next one at once
 }
 
 // watchDiscovery follows discovery whenever the module requests it, until a poll fails: then
 // the module decides when to poll again. A move polls the new address at once, and ends the
 // call that waits at the old one.
 func (g *Gateway) watchDiscovery(ctx context.Context) {
-	w := discoveryWatch{g, g.options.Discovery, g.options.CachedList.Generation}
+	w := discoveryWatch{gateway: g, addr: g.options.Discovery, generation: g.options.CachedList.Generation}
 	for {
 		select {
 		case <-g.loop.pollRequests:
@@ -48,6 +50,7 @@
 		outcome := poll.outcome(&list, next, err)
 		g.polls[outcome].Add(1)
 		poll.log(ctx, slog.LevelDebug, "discovery_poll", "outcome", outcome.String())
+		w.continues = err == nil && next == ""
 		switch {
 		case outcome == pollMoved:
 			w.moveTo(next)
@@ -68,17 +71,30 @@
 	}
 }
 
-// newPoll returns the next call.
+// newPoll returns the next call: for the full list, or the first call of a watch, which is answered soon so
+// that the list's age is known soon, or one that continues the watch.
 func (w *discoveryWatch) newPoll() discoveryPoll {
 	config := w.gateway.config.Load()
-	poll := discoveryPoll{addr: w.addr, since: w.generation, wait: config.watchWait, begunAt: time.Now()}
-	if w.generation == httpwire.NoGeneration { // such a call does not wait for a change
-		poll.wait = 0
+	poll := discoveryPoll{addr: w.addr, since: w.generation, first: !w.continues, begunAt: time.Now()}
+	answerTimeout := config.discoveryTimeout
+	switch {
+	case w.generation == httpwire.NoGeneration: // such a call does not wait for a change
+	case poll.first:
+		poll.wait = min(config.watchWait/firstWaitFraction, firstWatchWait)
+	default:
+		poll.wait = jitter(config.watchWait)
+		answerTimeout = min(answerTimeout, openWatchTimeout)
 	}
-	poll.timeout = poll.wait + config.discoveryTimeout
+	poll.timeout = poll.wait + answerTimeout
 	return poll
 }
 
+// jitter returns a time of three quarters of another one to all of it: gateways whose watches were answered at
+// once, by a change, do not all call again at once if these fall silent.
+func jitter(d time.Duration) time.Duration {
+	return d - time.Duration(rand.Float64()*float64(d)/4)
+}
+
 // reportFailure posts a failed poll, and waits until the loop has applied it: polls requested
 // before that are void, those requested from then on count.
 func (w *discoveryWatch) reportFailure(ctx context.Context, poll *discoveryPoll, err error) {
--- a/internal/gateway/discoverypoll.go
+++ b/internal/gateway/discoverypoll.go
@@ -34,6 +34,7 @@
 	since   int64         // the generation that the gateway has
 	wait    time.Duration // how long discovery may wait for a change
 	timeout time.Duration // of the whole call
+	first   bool          // it does not continue a watch
 	begunAt time.Time
 }
 
@@ -56,14 +57,32 @@
 	return pollChanged
 }
 
+const (
+	// firstWatchWait is how long discovery may delay the answer to the first call of a watch, and
+	// firstWaitFraction the part of a watch's wait that it may be at most.
+	firstWatchWait, firstWaitFraction = 250 * time.Millisecond, 8
+	// openWatchTimeout is how much longer than its wait the answer to an open watch may take: unlike a first call
+	// it is in no queue.
+	openWatchTimeout = 1500 * time.Millisecond
+)
+
+// MaxWatchWait returns the longest wait of a watch with which a list that is trusted for a time does not get older
+// than that if the watch falls silent: its silence is noticed, and a first call answered, before.
+func MaxWatchWait(trust, answerTimeout time.Duration) time.Duration {
+	return trust - maxTransit - min(answerTimeout, openWatchTimeout) - firstWatchWait - answerTimeout
+}
+
+// maxTransit is how long an answer of discovery's may be under way.
+const maxTransit = time.Second
+
 // knownFor returns how long ago all changes were known that discovery had, by an answer. Discovery composed
 // the answer after it had the call, and after its wait if nothing has changed.
 func (p *discoveryPoll) knownFor(outcome pollOutcome) time.Duration {
 	took := time.Since(p.begunAt)
 	if outcome == pollUnchanged {
-		return max(0, took-p.wait)
+		took = max(0, took-p.wait)
 	}
-	return took
+	return min(took, maxTransit)
 }
 
 // foundUnreachable reports whether the call's failure shows that discovery could not be reached when the
--- a/internal/gateway/discoverypoll_test.go
+++ b/internal/gateway/discoverypoll_test.go
@@ -19,7 +19,7 @@
 
 // pollOnce has a gateway make one call to discovery, and returns the event that it posts. The test takes the place of
 // the event loop.
-func pollOnce(t *testing.T, generation int64, answer discoveryCall, wait time.Duration) (event, *Gateway) {
+func pollOnce(t *testing.T, generation int64, answer discoveryCall, change func(*Options)) (event, *Gateway) {
 	t.Helper()
 	l := listenOnLoopback(t)
 	go func() {
@@ -43,7 +43,8 @@
 	o := testOptions()
 	o.Discovery = l.Addr().String()
 	o.CachedList = httpwire.EndpointList{Generation: generation}
-	o.WatchWait, o.DiscoveryTimeout = wait, 2*time.Second
+	o.DiscoveryTimeout = 2 * time.Second
+	change(&o)
 	g := newTestGateway(t, o)
 	go g.watchDiscovery(t.Context())
 	g.loop.WatchDiscovery()
@@ -82,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			begun := time.Now()
-			e, g := pollOnce(t, 7, c.answer, time.Second)
+			e, g := pollOnce(t, 7, c.answer, func(*Options) {})
 			failed, ok := e.(listPollFailed)
 			if !ok || failed.unreachable != c.unreachable {
 				t.Errorf("%#v, want unreachable %t", e, c.unreachable)
@@ -112,7 +113,7 @@
 // What discovery sent is dated by the call, not by its arrival: an answer that was long under way says nothing
 // of the changes behind it.
 func TestListIsDatedByItsCall(t *testing.T) {
-	const wait, delay = 300 * time.Millisecond, 400 * time.Millisecond
+	const wait, delay = firstWatchWait, 400 * time.Millisecond // together below maxTransit
 	answer := func(text string) discoveryCall {
 		return func(c net.Conn, _ int) {
 			time.Sleep(wait + delay)
@@ -129,7 +130,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			begun := time.Now()
-			e, g := pollOnce(t, 7, c.answer, wait)
+			e, g := pollOnce(t, 7, c.answer, func(*Options) {})
 			received, ok := e.(listReceived)
 			if asOf := g.clock.timeAt(received.asOf).Sub(begun); !ok || asOf < c.latest || asOf > c.latest+delay/2 {
 				t.Errorf("%T as of %v after the call began, want %v", e, asOf, c.latest)
--- a/internal/lifecycle/transportsettings.go
+++ b/internal/lifecycle/transportsettings.go
@@ -37,7 +37,6 @@
 	localAnswerTimeout = 500 * time.Millisecond
 	maxAnswerTimeout   = 2500 * time.Millisecond
 	minWatchWait       = time.Second
-	maxWatchWait       = 8 * time.Second
 	// watchIntervalPerGateway limits the watch calls of all gateways to four a second, where the bounds allow.
 	watchIntervalPerGateway = 250 * time.Millisecond
 )
@@ -98,8 +97,8 @@
 	// Longer than calls wait in discovery's queue: a caller that leaves the queue earlier has wasted its
 	// place and queues again.
 	answerTimeout = min(maxAnswerTimeout, pollWithin/2)
-	// Few gateways poll often, so that after any failed call the next one is answered within the
-	// protocol's 6 s; with many gateways the calls would be too many.
+	// A watch that falls silent must not let the list get too old, however many gateways there are.
+	longest := min(gateway.MaxWatchWait(microseconds(s.ListTrust()), answerTimeout), pollWithin-answerTimeout)
 	watchWait = time.Duration(s.Gateways) * watchIntervalPerGateway
-	return min(max(minWatchWait, watchWait), pollWithin-answerTimeout, maxWatchWait), answerTimeout
+	return max(minWatchWait, min(watchWait, longest)), answerTimeout
 }
