discovery: an agent that does not answer a first call learns nothing

While discovery is down the agent is silent and learns nothing, and service must go on: a first call, which an agent on this machine answers at once, shows that when it is not answered. The call's beginning is what the list's age is counted from. A shared discovery may have the call in a queue: there it shows nothing.

TestSilentAgentLearnsNothing fails without it (unreachable false for the agent).

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -61,7 +61,7 @@
 			silent = true
 			poll.log(ctx, slog.LevelWarn, "discovery_silent", "err", err)
 		case err != nil:
-			w.reportFailure(ctx, &poll, err)
+			w.reportFailure(ctx, &poll, outcome, err)
 			return
 		default:
 			silent, w.generation = false, list.Generation
@@ -97,8 +97,10 @@
 
 // reportFailure posts a failed poll, and waits until the loop has applied it: polls requested
 // before that are void, those requested from then on count.
-func (w *discoveryWatch) reportFailure(ctx context.Context, poll *discoveryPoll, err error) {
-	unreachable := poll.foundUnreachable(err)
+func (w *discoveryWatch) reportFailure(ctx context.Context, poll *discoveryPoll, outcome pollOutcome, err error) {
+	// An agent on this machine answers a first call at once, or is silent and learns nothing.
+	silentAgent := outcome == pollSilent && poll.first && w.gateway.options.Settings.LocalDiscovery
+	unreachable := silentAgent || poll.foundUnreachable(err)
 	poll.log(ctx, slog.LevelInfo, "discovery_failed", "err", err, "unreachable", unreachable)
 	failed := listPollFailed{unreachable, w.gateway.clock.readingAgo(time.Since(poll.begunAt)), make(chan struct{})}
 	w.gateway.loop.post(ctx, failed)
--- a/internal/gateway/discoverypoll_test.go
+++ b/internal/gateway/discoverypoll_test.go
@@ -138,3 +138,17 @@
 		})
 	}
 }
+
+// A first call to an agent on this machine that gets no answer shows that the agent is silent, and learns nothing;
+// one to a discovery that is shared shows nothing: it may be in a queue.
+func TestSilentAgentLearnsNothing(t *testing.T) {
+	for _, local := range []bool{true, false} {
+		e, _ := pollOnce(t, 7, func(c net.Conn, _ int) { io.Copy(io.Discard, c) }, func(o *Options) {
+			o.WatchWait, o.DiscoveryTimeout = 100*time.Millisecond, 100*time.Millisecond
+			o.Settings.LocalDiscovery = local
+		})
+		if failed, ok := e.(listPollFailed); !ok || failed.unreachable != local {
+			t.Errorf("local %t: %#v", local, e)
+		}
+	}
+}
