discovery: a refused call behind a gap does not extend the list's trust

A refused call shows that discovery can be reached by nobody now; it says nothing of the time since its last answer. Behind a watch that fell silent, or a call that waited in vain, discovery may have been reached, and a change have counted as known, before the outage that the refusal shows; the list was trusted for another 6 s from each refusal.

A refusal counts only where the time since the last answer is covered: by answers, by an open watch that discovery ended itself (reset, 503), and by calls that were refused at once. A list that starts the process is covered if the first call comes within a second. Not covered by this: a watch that first falls silent and then is reset within its wait, and a discovery that comes and goes between two refusals.

TestRefusedCallBehindAGapShowsNothing fails without the condition (two of three cases).

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -13,6 +13,9 @@
 	"archknot/internal/httpwire"
 )
 
+// firstCallWithin is how soon after the start a call counts as made at the start.
+const firstCallWithin = time.Second
+
 // errUnavailable says that discovery answered that it serves no calls.
 var errUnavailable = errors.New("status 503")
 
@@ -22,6 +25,8 @@
 	addr       string
 	generation int64 // of the list in force; httpwire.NoGeneration: the next call gets the full list
 	continues  bool  // discovery answered the last call, and so serves the next one at once
+	called     bool  // a call has been made
+	covered    bool  // since its last answer, or the start, discovery was watched or could not be reached
 }
 
 // watchDiscovery follows discovery whenever the module requests it, until a poll fails: then
@@ -29,9 +34,12 @@
 // call that waits at the old one.
 func (g *Gateway) watchDiscovery(ctx context.Context) {
 	w := discoveryWatch{gateway: g, addr: g.options.Discovery, generation: g.options.CachedList.Generation}
+	started := time.Now()
 	for {
 		select {
 		case <-g.loop.pollRequests:
+			w.covered = w.covered || !w.called && time.Since(started) < firstCallWithin
+			w.called = true
 		case next := <-g.discoveryMoves:
 			w.moveTo(next)
 		case <-ctx.Done():
@@ -51,6 +59,7 @@
 		g.polls[outcome].Add(1)
 		poll.log(ctx, slog.LevelDebug, "discovery_poll", "outcome", outcome.String())
 		w.continues = err == nil && next == ""
+		w.covered = w.continues || w.covered && w.staysCovered(&poll, err)
 		switch {
 		case outcome == pollMoved:
 			w.moveTo(next)
@@ -61,7 +70,7 @@
 			silent = true
 			poll.log(ctx, slog.LevelWarn, "discovery_silent", "err", err)
 		case err != nil:
-			w.reportFailure(ctx, &poll, outcome, err)
+			w.reportFailure(ctx, &poll, err)
 			return
 		default:
 			silent, w.generation = false, list.Generation
@@ -95,12 +104,25 @@
 	return d - time.Duration(rand.Float64()*float64(d)/4)
 }
 
+// showsUnreachable reports whether a failed call shows that discovery could not be reached when the call began.
+func (w *discoveryWatch) showsUnreachable(poll *discoveryPoll, err error) bool {
+	// An agent on this machine answers a first call at once, or is silent and learns nothing.
+	silentAgent := poll.first && poll.timedOut(err) && w.gateway.options.Settings.LocalDiscovery
+	return silentAgent || poll.foundUnreachable(err)
+}
+
+// staysCovered reports whether no change can have been missed in the time of a failed call: discovery could not be
+// reached, or it ended an open watch, which was alive until then. An agent's watch falls silent as the agent does.
+func (w *discoveryWatch) staysCovered(poll *discoveryPoll, err error) bool {
+	openWatchEnded := !poll.first && isExplicitEnd(err)
+	silentWithAgent := poll.timedOut(err) && w.gateway.options.Settings.LocalDiscovery
+	return openWatchEnded || silentWithAgent || w.showsUnreachable(poll, err)
+}
+
 // reportFailure posts a failed poll, and waits until the loop has applied it: polls requested
 // before that are void, those requested from then on count.
-func (w *discoveryWatch) reportFailure(ctx context.Context, poll *discoveryPoll, outcome pollOutcome, err error) {
-	// An agent on this machine answers a first call at once, or is silent and learns nothing.
-	silentAgent := outcome == pollSilent && poll.first && w.gateway.options.Settings.LocalDiscovery
-	unreachable := silentAgent || poll.foundUnreachable(err)
+func (w *discoveryWatch) reportFailure(ctx context.Context, poll *discoveryPoll, err error) {
+	unreachable := w.covered && w.showsUnreachable(poll, err)
 	poll.log(ctx, slog.LevelInfo, "discovery_failed", "err", err, "unreachable", unreachable)
 	failed := listPollFailed{unreachable, w.gateway.clock.readingAgo(time.Since(poll.begunAt)), make(chan struct{})}
 	w.gateway.loop.post(ctx, failed)
--- a/internal/gateway/discoverypoll.go
+++ b/internal/gateway/discoverypoll.go
@@ -42,12 +42,17 @@
 // waited in discovery's queue, fails later.
 const unreachableWithin = 500 * time.Millisecond
 
+// timedOut reports whether discovery accepted the call and did not answer it within the timeout.
+func (p *discoveryPoll) timedOut(err error) bool {
+	return err != nil && !errors.Is(err, errNotConnected) && time.Since(p.begunAt) >= p.timeout
+}
+
 // outcome returns how the call ended.
 func (p *discoveryPoll) outcome(list *httpwire.EndpointList, next string, err error) pollOutcome {
 	switch {
 	case next != "":
 		return pollMoved
-	case err != nil && !errors.Is(err, errNotConnected) && time.Since(p.begunAt) >= p.timeout:
+	case p.timedOut(err):
 		return pollSilent
 	case err != nil:
 		return pollFailed
@@ -95,6 +100,9 @@
 	return errors.Is(err, errNotConnected) || errors.Is(err, errConnClosed) || errors.Is(err, errUnavailable)
 }
 
+// isExplicitEnd reports whether discovery itself ended a call without a list.
+func isExplicitEnd(err error) bool { return isConnEnd(err) || errors.Is(err, errUnavailable) }
+
 // log writes a line about the poll.
 func (p *discoveryPoll) log(ctx context.Context, level slog.Level, msg string, args ...any) {
 	slog.Log(ctx, level, msg, append(args, "addr", p.addr, "since", p.since,
--- a/internal/gateway/discoverypoll_test.go
+++ b/internal/gateway/discoverypoll_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +153,42 @@
 		}
 	}
 }
+
+// A call that discovery refuses at once shows an outage only from then on. Behind a watch that fell silent, or a call
+// that failed late, changes may have been missed, and the list must not be trusted for longer.
+func TestRefusedCallBehindAGapShowsNothing(t *testing.T) {
+	const late = unreachableWithin + 100*time.Millisecond
+	for name, c := range map[string]struct {
+		first       discoveryCall // of the process's calls, the one before that which is refused
+		unreachable bool
+	}{
+		"answered before": {func(c net.Conn, _ int) {
+			const list = `{"generation":7,"reset":false,"instances":[]}`
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+		}, true},
+		"silent before":      {func(c net.Conn, _ int) { io.Copy(io.Discard, c) }, false},
+		"failed late before": {func(c net.Conn, _ int) { time.Sleep(late); io.WriteString(c, unavailable) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int32
+			e, g := pollOnce(t, 7, func(conn net.Conn, n int) {
+				if calls.Add(1) == 1 {
+					c.first(conn, n)
+					return
+				}
+				io.WriteString(conn, unavailable)
+			}, func(o *Options) { o.DiscoveryTimeout = 2 * unreachableWithin })
+			for failed, ok := e.(listPollFailed); !ok || calls.Load() < 2; failed, ok = e.(listPollFailed) {
+				if ok {
+					close(failed.handled)
+					g.loop.WatchDiscovery()
+				}
+				e = <-g.loop.events
+			}
+			if failed, _ := e.(listPollFailed); failed.unreachable != c.unreachable {
+				t.Errorf("unreachable %t, want %t", failed.unreachable, c.unreachable)
+			}
+		})
+	}
+}
--- a/internal/gateway/pooledclient.go
+++ b/internal/gateway/pooledclient.go
@@ -83,13 +83,17 @@
 
 // markClosed adds errConnClosed to an error that shows the end of a new connection.
 func markClosed(conn *connpool.Conn, err error) error {
-	ended := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	if ended && !conn.Reused {
+	if isConnEnd(err) && !conn.Reused {
 		return fmt.Errorf("%w: %w", errConnClosed, err)
 	}
 	return err
 }
 
+// isConnEnd reports whether an error says that the other side closed or reset the connection.
+func isConnEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // drainBody reads the remainder of a body, and reports whether its end was reached.
 func drainBody(body io.Reader) bool {
 	limited := io.LimitedReader{R: body, N: maxShortBody}
