balancer: while discovery answers 503, replicas that show themselves unchanged go on

A gateway cannot tell such an outage, in which nothing counts as known, from a discovery with too many callers, in which changes may.

Decision: calls that discovery ends itself (503, reset), with nothing else since its last answer, keep the list in use for as long as an answer would, counted from the call's beginning, but doubtful: only replicas get new work that have passed a health check within 6 s over a connection of 5 s and more. A watch that falls silent, a call without any answer and a malformed one end this, and the list is stale. The next call begins while the list is in use.

--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -18,6 +18,13 @@
 	writeDelay Micros = 300_000
 	// minLocalTrust is how long the list of an agent on this machine is trusted at least.
 	minLocalTrust Micros = 2_000_000
+	// minConfirmedConnAge is how long a connection must have been open for a health check over it
+	// to show that a replica was not started in the meantime: the next process at its address
+	// answers before it is listed.
+	minConfirmedConnAge Micros = 5_000_000
+	// confirmAhead is how long before it is needed a replica is checked where requests poll none,
+	// and confirmInterval how often.
+	confirmAhead, confirmInterval Micros = 1_500_000, 500_000
 	// pollBackoffMin and pollBackoffMax bound the backoff after a failed call where
 	// discovery takes the calls of all gateways at once: with a short call before and one
 	// after it well within notifiedWithin. localPollBackoff is the backoff for an agent on
@@ -50,18 +57,24 @@
 	nextPollAt   Micros // 0: not due
 	pollBackoff  Micros
 	lastHeardAt  Micros // up to when changes of the list are known
+	// unavailableAt is when the last call began that discovery answered with that it serves none;
+	// since lastHeardAt all calls have ended so. It is down, or has too many callers.
+	unavailableAt Micros
 }
 
 // ListChanged handles a change of the endpoint list. Rule 3: a replica that is draining or
 // gone gets nothing from this moment on, which is within any grace period.
 func (b *Balancer) ListChanged(now Micros, list EndpointList) {
 	if list.Kind.Failed() {
+		switch list.Kind {
+		case ListUnreachable:
+			b.hearAsOf(now, list.AsOf)
+		case ListUnavailable:
+			b.unavailableAt = max(b.unavailableAt, min(now, cmp.Or(list.AsOf, now)))
+		}
 		if b.settings.PollDiscovery {
 			b.scheduleNextPoll(now, list.Kind == ListUnreachable)
 		}
-		if list.Kind == ListUnreachable {
-			b.hearAsOf(now, list.AsOf)
-		}
 		return
 	}
 	if list.Kind.FromDiscovery() {
@@ -136,9 +149,9 @@
 		least, most = localPollBackoff, localPollBackoff
 	case unreachable && !b.listReceived && b.readyCount == 0: // it cannot serve before
 		least, most = max(pollBackoffMin, spread/8), max(pollBackoffMax, spread/4)
-	case unreachable:
-		// The next call begins while the list is still used: nobody is served, so it costs nothing.
-		most = min(max(pollBackoffMax, spread), b.settings.ListTrust()-2*tickEvery)
+	case unreachable || b.unavailableAt > b.lastHeardAt:
+		// The next call begins while the list is still used. Where nobody is served it costs nothing.
+		most = max(pollBackoffMax, min(spread, b.ListTrustedUntil()-now-2*tickEvery))
 		least = min(least, most)
 	}
 	b.pollBackoff = min(most, max(least, 2*b.pollBackoff))
@@ -150,21 +163,46 @@
 
 // ListTrustedUntil is the time up to which attempts may be written by the list: later a
 // replica may drain or be gone, and the grace for it be over, without this gateway's
-// knowledge. No answer of a replica's shows otherwise: one that drains may take work and pass
-// health checks, and so may its next process before it is listed.
+// knowledge.
 func (b *Balancer) ListTrustedUntil() Micros {
 	if b.settings.WatchInterval <= 0 { // no word of discovery's means that nothing has changed
 		return math.MaxInt64
 	}
-	return b.lastHeardAt + b.settings.ListTrust()
+	return max(b.lastHeardAt, b.unavailableAt) + b.settings.ListTrust()
 }
 
 // ListStale reports whether the list is too old for new attempts.
 func (b *Balancer) ListStale(now Micros) bool { return now >= b.ListTrustedUntil() }
 
+// ListDoubtful reports whether the list is used only because discovery answers that it serves
+// none. Nothing can have counted as known if it is down. If it has too many callers, changes
+// may have: then only replicas that show themselves unchanged get new attempts.
+func (b *Balancer) ListDoubtful(now Micros) bool {
+	return b.settings.WatchInterval > 0 && now >= b.lastHeardAt+b.settings.ListTrust()
+}
+
+// isConfirmed reports whether a replica may get new attempts by a doubtful list: it has passed
+// a health check, as one that declines work does not, in a process that ran before.
+func (b *Balancer) isConfirmed(now Micros, row *replicaRow) bool {
+	return now-row.confirmedAt < notifiedWithin
+}
+
+// confirmReplicas checks replicas before the list becomes doubtful, where requests poll none.
+func (b *Balancer) confirmReplicas(now Micros) {
+	if !b.settings.MayHealthCheck || b.largeFleet() || b.unavailableAt <= b.lastHeardAt || !b.ListDoubtful(now+confirmAhead) || b.ListStale(now) {
+		return
+	}
+	for _, row := range b.rows {
+		if row.state == EndpointReady && !row.healthCheckPending && now-row.healthCheckedAt >= confirmInterval {
+			b.sendHealthCheck(now, row)
+		}
+	}
+}
+
 // followDiscovery polls discovery when that is due.
 func (b *Balancer) followDiscovery(now Micros) {
 	if b.nextPollAt > 0 && now >= b.nextPollAt && !b.watching {
 		b.watch(now)
 	}
+	b.confirmReplicas(now)
 }
--- a/balancer/discovery_test.go
+++ b/balancer/discovery_test.go
@@ -392,3 +392,61 @@
 		}
 	}
 }
+
+// While discovery answers that it serves none, the list is used only for replicas that show themselves unchanged: that
+// pass a health check, as one that declines work does not, over a connection that is older than the next process at
+// their address could be before it is listed. (Incident 49: any passed health check and any first token would do, at
+// any time.)
+func TestDoubtfulListIsUsedOnlyForUnchangedReplicas(t *testing.T) {
+	const old, fresh = minConfirmedConnAge, minConfirmedConnAge - 1
+	for _, gateways := range []int{3, 80} {
+		for name, c := range map[string]struct {
+			check Outcome
+			used  bool
+		}{
+			"passed over an old connection": {Outcome{Status: Served, ConnAge: old}, true},
+			"passed over a new connection":  {Outcome{Status: Served, ConnAge: fresh}, false},
+			"declined":                      {Outcome{Status: Errored, ConnAge: old}, false},
+			"no answer":                     {Outcome{Status: TimedOut, ConnAge: old}, false},
+		} {
+			s := eightyGateways()
+			s.Gateways, s.DrainGrace = gateways, 2_500_000
+			b, rec := silence(t, s, 107*second, ListUnavailable)
+			now := 100*second + s.ListTrust()
+			if !b.ListDoubtful(now) || b.ListStale(now) {
+				t.Fatalf("doubtful %t, stale %t", b.ListDoubtful(now), b.ListStale(now))
+			}
+			if to := placedWith(b, rec, now, 1, c.check); (to != 0) != c.used {
+				t.Errorf("%d gateways, %s: sent to %d", gateways, name, to)
+			}
+			stale := 107*second + s.ListTrust()
+			if to := placedWith(b, rec, stale, 2, c.check); to != 0 {
+				t.Errorf("%d gateways, %s: sent to %d, %d us after the last call", gateways, name, to, stale-107*second)
+			}
+		}
+	}
+}
+
+// placedWith returns where a request goes, 0 if nowhere, if all health checks before and for it end in one way.
+func placedWith(b *Balancer, rec *recorder, now Micros, id RequestID, check Outcome) (to ReplicaID) {
+	answer := func() {
+		for _, endpoint := range b.Endpoints() {
+			check.Replica = endpoint.Replica
+			b.rowByID[endpoint.Replica].healthCheckedAt = now
+			b.HealthCheckEnded(now, check)
+		}
+	}
+	if !b.largeFleet() { // checked before they are needed
+		answer()
+	}
+	rec.acts = nil
+	b.RequestArrived(now, testRequest(id))
+	answer()
+	b.TimerFired(now+pollTimeout, timerToken(timerPoll, id))
+	for _, a := range rec.acts {
+		if a.what == "dispatch" {
+			to = a.to
+		}
+	}
+	return to
+}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -37,13 +37,16 @@
 	ListFailed                      // no list: a call to discovery failed
 	ListUnreachable                 // no list: discovery could not be reached, by AsOf
 	ListOverride                    // entries changed by an operator, without word from discovery
+	ListUnavailable                 // no list: discovery has answered since AsOf that it serves none
 )
 
 // Complete reports whether a list of this kind has all replicas.
 func (k ListKind) Complete() bool { return k == ListFull || k == ListCached }
 
 // Failed reports whether there is no list, since a call to discovery failed.
-func (k ListKind) Failed() bool { return k == ListFailed || k == ListUnreachable }
+func (k ListKind) Failed() bool {
+	return k == ListFailed || k == ListUnreachable || k == ListUnavailable
+}
 
 // FromDiscovery reports whether discovery itself has sent a list of this kind just now.
 func (k ListKind) FromDiscovery() bool { return k == ListFull || k == ListDelta }
@@ -132,6 +135,7 @@
 	CachedTokens int    // prompt tokens found in the replica's cache
 	OutputTokens int    // of the answer; 0: not reported
 	Report       LoadReport
+	ConnAge      Micros // of the connection of a health check, which had been open for so long
 }
 
 // Sink carries out the actions of a Balancer. Its methods are called in order, from
--- a/balancer/healthcheck.go
+++ b/balancer/healthcheck.go
@@ -87,6 +87,9 @@
 	b.recordAnswer(now, row, outcome.Status, true)
 	switch status := outcome.Status; {
 	case status == Served:
+		if outcome.ConnAge >= minConfirmedConnAge {
+			row.confirmedAt = row.healthCheckedAt
+		}
 		b.healthCheckPassed(now, row, outcome.Report)
 	case status == ConnectFailed, status == Errored, status == TimedOut && b.largeFleet():
 		b.recordFailure(now, row, status)
--- a/balancer/loadtable.go
+++ b/balancer/loadtable.go
@@ -75,6 +75,7 @@
 
 	liveLoad        float64 // load by the last live weight
 	healthCheckedAt Micros  // the last health check
+	confirmedAt     Micros  // when it last passed a health check over an old connection
 	warmingSince    Micros  // start of slow start
 }
 
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -26,6 +26,14 @@
 		b.breakdowns = b.breakdowns[:0]
 		return nil, 0, true
 	}
+	if b.mayPoll {
+		b.mayPoll = false // from here on the attempt goes out
+		if first := b.shortlist[0].row; first != nil && b.needsConfirmation(now, first) {
+			// It was accepted to be polled, and cannot be polled now.
+			b.breakdowns = b.breakdowns[:0]
+			b.scan(now, req)
+		}
+	}
 	best, cachedTokens = b.shortlist[0].row, b.shortlist[0].cachedTokens
 	if b.interceptor != nil {
 		best, cachedTokens = b.interceptPick(req, best, cachedTokens)
@@ -58,7 +66,7 @@
 
 // eligible reports whether an attempt of a request may go to a replica at all.
 func (b *Balancer) eligible(now Micros, row *replicaRow, req *request, lastResort bool) bool {
-	if row.state != EndpointReady || b.ListStale(now) { // rule 3
+	if row.state != EndpointReady || b.ListStale(now) || !b.mayPoll && b.needsConfirmation(now, row) { // rule 3
 		return false
 	}
 	if !lastResort && (now < row.backoffUntil || !b.zoneOpen(now, row) || row.onTrial()) {
--- a/balancer/polling.go
+++ b/balancer/polling.go
@@ -61,7 +61,12 @@
 
 // needsPoll reports whether what is known of a replica is too old for a pick.
 func (b *Balancer) needsPoll(now Micros, row *replicaRow) bool {
-	return !row.healthCheckPending && (row.reportedAt < 0 || now-row.reportedAt > pollReportAge)
+	return !row.healthCheckPending && (row.reportedAt < 0 || now-row.reportedAt > pollReportAge || b.needsConfirmation(now, row))
+}
+
+// needsConfirmation reports whether the list alone does not allow new attempts at a replica.
+func (b *Balancer) needsConfirmation(now Micros, row *replicaRow) bool {
+	return b.ListDoubtful(now) && !b.isConfirmed(now, row)
 }
 
 // addRandomCandidate puts a random replica, or the warming one on offer, in the last place
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -154,6 +154,7 @@
 	// Builds before 1.3 knew zones by failed connects in a row; those before 1.4 counted what
 	// warming replicas were sent, and those of 1.5 what they were wanted for.
 	a.skip(7, 9, 24, 25, 29, 30)
+	integer(a, 31, &b.unavailableAt)
 	sortedMap(a, 26, &b.zones.Zones, archiveZone)
 	integer(a, 27, &b.lastHeardAt)
 	a.float(28, &b.meanWork)
@@ -389,9 +390,8 @@
 	integer(a, 27, &row.healthCheckedAt)
 	integer(a, 28, &row.warmingSince)
 	integer(a, 29, &row.warmingUntil)
-	// What a warming one was sent, in builds before 1.4, or wanted for, in those of 1.5; and when it
-	// had last taken work or passed a health check, before 1.7.
-	a.skip(23, 30, 31, 32)
+	integer(a, 31, &row.confirmedAt)
+	a.skip(23, 30, 32) // what a warming one was sent, in builds before 1.4, or wanted for, in those of 1.5
 	row.hash = splitmix(uint64(row.id))
 }
 
--- a/internal/capture/convert.go
+++ b/internal/capture/convert.go
@@ -53,6 +53,7 @@
 	to.Final = o.Final
 	to.Kept = int64(o.CachedTokens)
 	to.Tokens = int64(o.OutputTokens)
+	to.ConnAgeUs = o.ConnAge
 	to.Report = reportToProto(report, &o.Report)
 	return to
 }
@@ -67,6 +68,7 @@
 		Final:        o.GetFinal(),
 		CachedTokens: int(o.GetKept()),
 		OutputTokens: int(o.GetTokens()),
+		ConnAge:      o.GetConnAgeUs(),
 		Report:       ReportFromProto(o.GetReport()),
 	}
 }
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -20,11 +20,12 @@
 
 	meter    *controlstats.Meter
 	peerKey  string
+	openedAt time.Time
 	lastUsed time.Time
 }
 
 func newConn(raw net.Conn, peerKey string) *Conn {
-	c := &Conn{Conn: raw, peerKey: peerKey}
+	c := &Conn{Conn: raw, peerKey: peerKey, openedAt: time.Now()}
 	c.Reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
@@ -64,3 +65,6 @@
 	}
 	return openWithoutData(c.Conn)
 }
+
+// Age returns how long the connection has been open.
+func (c *Conn) Age() time.Duration { return time.Since(c.openedAt) }
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"archknot/balancer"
 	"archknot/internal/httpwire"
 )
 
@@ -27,13 +28,14 @@
 	continues  bool  // discovery answered the last call, and so serves the next one at once
 	called     bool  // a call has been made
 	covered    bool  // since its last answer, or the start, discovery was watched or could not be reached
+	claimed    bool  // as covered, or it ended first calls itself, after a wait
 }
 
 // watchDiscovery follows discovery whenever the module requests it, until a poll fails: then
 // the module decides when to poll again. A move polls the new address at once, and ends the
 // call that waits at the old one.
 func (g *Gateway) watchDiscovery(ctx context.Context) {
-	w := discoveryWatch{gateway: g, addr: g.options.Discovery, generation: g.options.CachedList.Generation}
+	w := discoveryWatch{gateway: g, addr: g.options.Discovery, generation: g.options.CachedList.Generation, claimed: true}
 	started := time.Now()
 	for {
 		select {
@@ -59,6 +61,7 @@
 		g.polls[outcome].Add(1)
 		poll.log(ctx, slog.LevelDebug, "discovery_poll", "outcome", outcome.String())
 		w.continues = err == nil && next == ""
+		w.claimed = w.continues || w.claimed && (w.staysCovered(&poll, err) || isExplicitEnd(err))
 		w.covered = w.continues || w.covered && w.staysCovered(&poll, err)
 		switch {
 		case outcome == pollMoved:
@@ -119,12 +122,23 @@
 	return openWatchEnded || silentWithAgent || w.showsUnreachable(poll, err)
 }
 
+// failureKind returns what a failed call means for the list.
+func (w *discoveryWatch) failureKind(poll *discoveryPoll, err error) balancer.ListKind {
+	switch {
+	case w.covered && w.showsUnreachable(poll, err):
+		return balancer.ListUnreachable
+	case w.claimed && poll.first && (isExplicitEnd(err) || w.showsUnreachable(poll, err)):
+		return balancer.ListUnavailable
+	}
+	return balancer.ListFailed
+}
+
 // reportFailure posts a failed poll, and waits until the loop has applied it: polls requested
 // before that are void, those requested from then on count.
 func (w *discoveryWatch) reportFailure(ctx context.Context, poll *discoveryPoll, err error) {
-	unreachable := w.covered && w.showsUnreachable(poll, err)
-	poll.log(ctx, slog.LevelInfo, "discovery_failed", "err", err, "unreachable", unreachable)
-	failed := listPollFailed{unreachable, w.gateway.clock.readingAgo(time.Since(poll.begunAt)), make(chan struct{})}
+	kind := w.failureKind(poll, err)
+	poll.log(ctx, slog.LevelInfo, "discovery_failed", "err", err, "unreachable", kind == balancer.ListUnreachable)
+	failed := listPollFailed{kind, w.gateway.clock.readingAgo(time.Since(poll.begunAt)), make(chan struct{})}
 	w.gateway.loop.post(ctx, failed)
 	select {
 	case <-failed.handled:
@@ -162,7 +176,7 @@
 func (g *Gateway) requestList(ctx context.Context, addr, path string, timeout time.Duration) (httpwire.EndpointList, error) {
 	var list httpwire.EndpointList
 	limits := httpwire.ListLimits{Endpoints: g.options.MaxListEntries, Zones: g.options.Settings.Zones}
-	err := g.discovery.get(ctx, addr, addr, path, timeout, func(status int, _ http.Header, body io.Reader) (err error) {
+	_, err := g.discovery.get(ctx, addr, addr, path, timeout, func(status int, _ http.Header, body io.Reader) (err error) {
 		if status == http.StatusServiceUnavailable {
 			return errUnavailable
 		}
--- a/internal/gateway/discoverypoll_test.go
+++ b/internal/gateway/discoverypoll_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"archknot/balancer"
 	"archknot/internal/connpool"
 	"archknot/internal/httpwire"
 )
@@ -86,7 +87,7 @@
 			begun := time.Now()
 			e, g := pollOnce(t, 7, c.answer, func(*Options) {})
 			failed, ok := e.(listPollFailed)
-			if !ok || failed.unreachable != c.unreachable {
+			if !ok || (failed.kind == balancer.ListUnreachable) != c.unreachable {
 				t.Errorf("%#v, want unreachable %t", e, c.unreachable)
 			}
 			if asOf := g.clock.timeAt(failed.asOf); asOf.After(begun.Add(100 * time.Millisecond)) {
@@ -148,7 +149,7 @@
 			o.WatchWait, o.DiscoveryTimeout = 100*time.Millisecond, 100*time.Millisecond
 			o.Settings.LocalDiscovery = local
 		})
-		if failed, ok := e.(listPollFailed); !ok || failed.unreachable != local {
+		if failed, ok := e.(listPollFailed); !ok || (failed.kind == balancer.ListUnreachable) != local {
 			t.Errorf("local %t: %#v", local, e)
 		}
 	}
@@ -186,8 +187,8 @@
 				}
 				e = <-g.loop.events
 			}
-			if failed, _ := e.(listPollFailed); failed.unreachable != c.unreachable {
-				t.Errorf("unreachable %t, want %t", failed.unreachable, c.unreachable)
+			if failed, _ := e.(listPollFailed); (failed.kind == balancer.ListUnreachable) != c.unreachable {
+				t.Errorf("%d, want unreachable %t", failed.kind, c.unreachable)
 			}
 		})
 	}
--- a/internal/gateway/endpointlog.go
+++ b/internal/gateway/endpointlog.go
@@ -54,14 +54,22 @@
 	}
 }
 
-// listMonitor logs when the list in force has become stale, and when it is current again. The event loop
-// owns it.
+// listState says how far the list in force may be used, as the log names it.
+type listState string
+
+const (
+	listCurrent  listState = "current"
+	listDoubtful listState = "doubtful" // only for replicas that show themselves unchanged
+	listStale    listState = "stale"    // for nothing
+)
+
+// listMonitor logs changes of the list's state. The event loop owns it.
 type listMonitor struct {
-	stale     bool
+	state     listState // at the last check; empty: none yet
 	nextCheck balancer.Micros
 }
 
-// listCheckInterval is how often the event loop looks whether the list is stale.
+// listCheckInterval is how often the event loop looks at the list's state.
 const listCheckInterval balancer.Micros = 250_000
 
 // logChanges logs a change since the last check, once per listCheckInterval.
@@ -70,12 +78,19 @@
 		return
 	}
 	m.nextCheck = now + listCheckInterval
-	stale, age := b.ListStale(now), b.ListAge(now)
+	state := listStateOf(now, b)
+	if m.state != "" && m.state != state {
+		slog.Warn("endpoint_list_state", "from", string(m.state), "to", string(state), "version", version, "age_ms", b.ListAge(now)/microsPerMilli)
+	}
+	m.state = state
+}
+
+func listStateOf(now balancer.Micros, b *balancer.Balancer) listState {
 	switch {
-	case stale && !m.stale:
-		slog.Warn("endpoint_list_stale", "version", version, "age_ms", age/microsPerMilli)
-	case m.stale && !stale:
-		slog.Info("endpoint_list_current", "version", version, "age_ms", age/microsPerMilli)
+	case b.ListStale(now):
+		return listStale
+	case b.ListDoubtful(now):
+		return listDoubtful
 	}
-	m.stale = stale
+	return listCurrent
 }
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -165,21 +165,17 @@
 
 // listPollFailed: a poll of discovery has failed.
 type listPollFailed struct {
-	unreachable bool // discovery could not be reached
-	asOf        balancer.Micros
-	handled     chan struct{} // closed once the event is applied
+	kind    balancer.ListKind // one that Failed
+	asOf    balancer.Micros   // when the call began
+	handled chan struct{}     // closed once the event is applied
 }
 
 func (e listPollFailed) apply(l *eventLoop) {
-	kind := balancer.ListFailed
-	if e.unreachable {
-		kind = balancer.ListUnreachable
-	}
 	select { // a poll requested while the call ran is answered by its failure
 	case <-l.pollRequests:
 	default:
 	}
-	l.module.ListChanged(l.now, balancer.EndpointList{Kind: kind, AsOf: e.asOf})
+	l.module.ListChanged(l.now, balancer.EndpointList{Kind: e.kind, AsOf: e.asOf})
 	l.publishListTrust()
 	close(e.handled)
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -175,10 +175,11 @@
 	replica *endpoint.Replica
 	status  balancer.Status
 	elapsed balancer.Micros
+	connAge balancer.Micros // of its connection, when it began
 	report  balancer.LoadReport
 }
 
 func (e healthCheckEnded) apply(l *eventLoop) {
 	l.accounting.shares.recordReplicaLoad(e.replica, &e.report)
-	l.module.HealthCheckEnded(l.now, balancer.Outcome{Replica: e.replica.ID, Status: e.status, Elapsed: e.elapsed, Report: e.report})
+	l.module.HealthCheckEnded(l.now, balancer.Outcome{Replica: e.replica.ID, Status: e.status, Elapsed: e.elapsed, ConnAge: e.connAge, Report: e.report})
 }
--- a/internal/gateway/healthcheck.go
+++ b/internal/gateway/healthcheck.go
@@ -25,7 +25,7 @@
 	start, startTime := g.clock.now(), time.Now()
 	result := healthCheckEnded{replica: replica, status: balancer.Served}
 	client := pooledClient{g.pool, &g.meters[controlstats.PurposeHealthCheck]}
-	err := client.get(context.Background(), replica.ConnKey(), replica.Addr, path, g.options.HealthCheckTimeout, result.read)
+	connAge, err := client.get(context.Background(), replica.ConnKey(), replica.Addr, path, g.options.HealthCheckTimeout, result.read)
 	switch {
 	case errors.Is(err, connpool.ErrLocalShortage):
 		result.status = balancer.NotSent // the replica did not get it
@@ -35,7 +35,7 @@
 		result.status, result.report = balancer.TimedOut, balancer.LoadReport{}
 		g.pool.CloseUnusedSince(replica.ConnKey(), startTime)
 	}
-	result.elapsed = g.clock.now() - start
+	result.elapsed, result.connAge = g.clock.now()-start, connAge.Microseconds()
 	g.loop.events <- result
 }
 
--- a/internal/gateway/pooledclient.go
+++ b/internal/gateway/pooledclient.go
@@ -38,14 +38,16 @@
 }
 
 // get fetches a path from an address and has the answer read. key names the address's
-// connections in the pool. The call ends within the timeout.
-func (c pooledClient) get(ctx context.Context, key, addr, path string, timeout time.Duration, read answerReader) error {
+// connections in the pool. The call ends within the timeout. connAge is how long its connection
+// had been open when the call began.
+func (c pooledClient) get(ctx context.Context, key, addr, path string, timeout time.Duration, read answerReader) (connAge time.Duration, err error) {
 	ctx, stop := context.WithTimeout(ctx, timeout)
 	defer stop()
 	conn, err := c.pool.Get(ctx, key, addr)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errNotConnected, err)
+		return 0, fmt.Errorf("%w: %w", errNotConnected, err)
 	}
+	connAge = conn.Age()
 	conn.StartCall(c.meter)
 	reusable := false
 	unhook := context.AfterFunc(ctx, func() { conn.Close() })
@@ -57,12 +59,12 @@
 		}
 	}()
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, addr); err != nil {
-		return fmt.Errorf("write: %w", markClosed(conn, err))
+		return connAge, fmt.Errorf("write: %w", markClosed(conn, err))
 	}
 	deadline, _ := ctx.Deadline() // it has one
 	conn.SetDeadline(deadline)
 	reusable, err = readAnswer(conn, deadline, read)
-	return err
+	return connAge, err
 }
 
 // readAnswer has one answer read, and reports whether its connection can be reused.
