gateway: no retry is planned for a client that has gone

The end of the cancelled attempt reached the event loop before the news of the client. Nothing was sent, but a retry of the budget was used up, and only the check before the write stood between it and the replica.

An attempt that ends as cancelled while its request's context has ended tells the module first that the client has gone. TestNoRetryIsPlannedForGoneClient fails without it (2 attempts, 1 action).

--- a/internal/gateway/clientgone_test.go
+++ b/internal/gateway/clientgone_test.go
@@ -164,3 +164,26 @@
 		t.Error("the request is still in flight")
 	}
 }
+
+// The end of an attempt that was cancelled because its client has gone may reach the event loop before the news of the
+// client does. No retry is planned for it: in incident 49 one was, and used up a retry of the budget.
+func TestNoRetryIsPlannedForGoneClient(t *testing.T) {
+	g := newTestGateway(t, testOptions())
+	l := g.loop
+	l.now = g.clock.now()
+	l.loadCachedList(httpwire.EndpointList{Endpoints: []httpwire.Endpoint{{ID: "s-1", Addr: "127.0.0.1:1", Zone: "a", Kind: "k", Lifecycle: "ready"},
+		{ID: "s-2", Addr: "127.0.0.1:2", Zone: "a", Kind: "k", Lifecycle: "ready"}}})
+	ctx, leave := context.WithCancel(t.Context())
+	r := inflight.NewRequest(ctx, "g1", balancer.Request{Class: "chat"}, l.now+4e6, 3)
+	requestArrived{r, g.config.Load(), true}.apply(l)
+	attempt := (<-r.Actions).Attempt
+	leave()
+	attemptEnded{attempt: attempt, status: balancer.Cancelled}.apply(l)
+	if len(r.Actions) > 0 || len(r.Attempts) != 1 {
+		t.Errorf("%d attempts, %d actions for a client that has gone", len(r.Attempts), len(r.Actions))
+	}
+	clientGone{r}.apply(l)
+	if l.requests.Len() != 0 {
+		t.Errorf("%d requests stay in flight", l.requests.Len())
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -117,6 +117,11 @@
 	if r.Winner == e.attempt {
 		r.Finished = true
 	}
+	if e.status == balancer.Cancelled && !r.Finished && r.Ctx.Err() != nil {
+		// The client has gone, and the event that says so comes later.
+		r.Finished = true
+		l.module.ClientGone(l.now, r.ID)
+	}
 	e.attempt.NeverRan = e.status.NeverRan()
 	l.accounting.settleAttempt(l.now, &e)
 	l.accounting.shares.recordReplicaLoad(e.attempt.Replica, &e.report)
