lifecycle: a streamed version may not poll more seldom than the list is trusted

A streamed configuration's Watch was checked against askWithinUs (10 s) alone, so a version could set waits with which a silent watch is noticed after the list has become too old: requests would be shed in each silence.

--- a/internal/lifecycle/nodeconfig_test.go
+++ b/internal/lifecycle/nodeconfig_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"archknot/balancer"
+	"archknot/internal/config"
 )
 
 const validConfig = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
@@ -175,3 +176,26 @@
 		t.Errorf("a bad address: %v", err)
 	}
 }
+
+// At any fleet size a silent watch is noticed, and a first call answered, before the list is too old to be used: the
+// wait of a watch grew with the fleet to 7.5 s. A streamed version may not poll more seldom than that either.
+func TestPollsFitTheTermAtAnyFleetSize(t *testing.T) {
+	const firstCall, transit = 250 * time.Millisecond, time.Second
+	for _, grace := range []balancer.Micros{0, 1_000_000, 2_500_000} {
+		for _, gateways := range []int{1, 3, 10, 30, 80, 200, 300, 900} {
+			s := balancer.Settings{Gateways: gateways, DrainGrace: grace}
+			wait, answer := watchTimeouts(&s, 10*time.Second)
+			silence := wait + min(answer, 1500*time.Millisecond)
+			if worst := transit + silence + firstCall + answer; worst > microseconds(s.ListTrust()) && wait > minWatchWait {
+				t.Errorf("%d gateways, grace %d us: the list is %v old, trusted for %d us", gateways, grace, worst, s.ListTrust())
+			}
+		}
+	}
+	server := &server{config: Config{}}
+	server.config.Gateway.PollWithin = 10 * time.Second
+	server.config.Gateway.Settings.DrainGrace = 2_500_000
+	server.fileSettings = &config.Config{}
+	if got, trust := server.versionLimits().MaxPollInterval, server.config.Gateway.Settings.ListTrust(); got > trust {
+		t.Errorf("versions may poll after %d us, a list is trusted for %d us", got, trust)
+	}
+}
