--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -114,9 +114,8 @@
 }
 
 // pollSpread is the time over which the gateways' calls must be spread for discovery to
-// answer all; 0: it takes them at once. It works also for calls that it will not answer
-// in time: eighty at once kept it busy for ten seconds with seventeen answers, and with
-// all calling again within seconds it answered none.
+// answer all; 0: it takes them at once. It works also for calls that it will not answer in
+// time.
 func (b *Balancer) pollSpread() Micros {
 	if all := Micros(b.settings.Gateways) * discoveryCallTime; all > unspreadCallTime && !b.settings.LocalDiscovery {
 		return min(all, maxPollSpread)
@@ -131,9 +130,8 @@
 }
 
 // scheduleNextPoll sets when discovery is polled after a call that failed. Calls fail when
-// all gateways call at once: the backoff doubles, and is scattered. A call that did not
-// even connect has cost discovery nothing, says nothing of its load, and shows that there
-// was no change to be notified of until now.
+// all gateways call at once: they are spread. A call that did not even connect has cost
+// discovery nothing, and says nothing of its load.
 func (b *Balancer) scheduleNextPoll(now Micros, unreachable bool) {
 	spread := b.pollSpread()
 	if b.watching && !unreachable && spread > 0 && b.settings.WatchInterval > 0 {
