cmd/archknot tests: the clients' socket waits for its port, as the servers' do

The address was free when it was drawn; another process takes such a port for a moment, which serve allows for 3 s and the deployment's own Listen did not.

--- a/cmd/archknot/drain_test.go
+++ b/cmd/archknot/drain_test.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -49,15 +47,7 @@
 // listen starts the replica's process.
 func (r *drainingReplica) listen(t *testing.T) {
 	t.Helper()
-	l, err := net.Listen("tcp", r.addr)
-	for end := time.Now().Add(waitLimit); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
-		time.Sleep(10 * time.Millisecond)
-		l, err = net.Listen("tcp", r.addr)
-	}
-	if err != nil {
-		t.Error(err)
-		return
-	}
+	l := listen(t, r.addr)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.server = &http.Server{Handler: r}
--- a/cmd/archknot/fleet_test.go
+++ b/cmd/archknot/fleet_test.go
@@ -99,10 +99,8 @@
 		d.discovery.publish(r.id, endpointJSON(r.id, r.addr, "ready", ""))
 		d.replicas = append(d.replicas, r)
 	}
-	l, err := net.Listen("tcp", d.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := listen(t, d.addr)
+	var err error
 	if d.listenSocket, err = l.(*net.TCPListener).File(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/archknot/main_test.go
+++ b/cmd/archknot/main_test.go
@@ -58,8 +58,8 @@
 	return l.Addr().String()
 }
 
-// serve listens on an address that was free before. Another process may use its port for a moment.
-func serve(t *testing.T, addr string, h http.HandlerFunc) {
+// listen listens on an address that was free before. Another process may use its port for a moment.
+func listen(t *testing.T, addr string) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", addr)
 	for end := time.Now().Add(3 * time.Second); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); {
@@ -69,8 +69,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return l
+}
+
+// serve serves on an address that was free before.
+func serve(t *testing.T, addr string, h http.HandlerFunc) {
+	t.Helper()
 	s := &http.Server{Handler: h}
-	go s.Serve(l)
+	go s.Serve(listen(t, addr))
 	t.Cleanup(func() { s.Close() })
 }
 
