configversion: a rollback is saved before it takes effect or is confirmed

Callers saw: an operator took a bad version back, or its hold did, the process was stopped or killed, and the next one began with the bad version again.

Cause: the mark "not to be applied again" was made when the target's result reached the machine (finishRollback), after the return was in force and after Rollback had said yes. Client.Apply drops that result when the context of Run ends, and a kill loses it anyway.

Now the machine saves the mark, and the previous version as the one that a restart begins with, before Host.Apply. An operator's rollback that can't be saved is refused with nothing changed; an automatic one goes on, and its save is tried again every 5 s, as each failed save is now (it was lost until the next one).

The model's checks stand; Persist and Rollback return errors, so its host and one call of TestRestartKeepsTheLastGood have the new signatures.

--- a/internal/configversion/host.go
+++ b/internal/configversion/host.go
@@ -43,8 +43,12 @@
 	// Apply makes the gateway apply a version, or return to one; nil is the configuration
 	// files. The host answers by Machine.Applied, later than this call.
 	Apply(c *Config)
-	// Persist saves the version in force, with those that must not be applied again.
-	Persist(c *Config, rejected []Number)
+	// Persist saves the last good version, with those that must not be applied again. What
+	// could not be saved is saved again later.
+	Persist(c *Config, rejected []Number) error
+	// PersistRollback saves, before the return to a version is ordered by Apply, that a
+	// restart begins with that version, and that the one in force is not applied again.
+	PersistRollback(c *Config, rejected []Number) error
 	// RecordEvent is for the history and the log.
 	RecordEvent(e Event)
 }
@@ -85,6 +89,8 @@
 	// WithdrawGrace is how much longer than the hold the other gateways wait: the service
 	// must learn that a version was rolled back, and withdraw it.
 	WithdrawGrace balancer.Micros
+	// SaveRetryInterval is the pause after which a failed save is tried again.
+	SaveRetryInterval balancer.Micros
 	// MinVerdictRequests is how many requests must have ended within a hold for a verdict.
 	MinVerdictRequests int
 }
@@ -92,5 +98,6 @@
 // DefaultOptions are the options of a gateway whose configuration says nothing else.
 func DefaultOptions(gateway string, seed uint64) Options {
 	return Options{Gateway: gateway, Limits: DefaultLimits, Seed: seed, MinInterval: 1_000_000, StallTimeout: 10_000_000,
-		InitialBackoff: 500_000, MaxBackoff: 30_000_000, BackoffResetAfter: 30_000_000, WithdrawGrace: 3_000_000, MinVerdictRequests: 50}
+		InitialBackoff: 500_000, MaxBackoff: 30_000_000, BackoffResetAfter: 30_000_000, WithdrawGrace: 3_000_000,
+		SaveRetryInterval: 5_000_000, MinVerdictRequests: 50}
 }
--- a/internal/configversion/machine.go
+++ b/internal/configversion/machine.go
@@ -45,6 +45,10 @@
 	rejected      []Number                // not to be applied again, the oldest first
 	rejectedSet   map[Number]bool         // the same
 
+	// What a restart begins with.
+	lastGood *Config         // nil: the configuration files
+	saveAt   balancer.Micros // when a failed save is tried again; 0: none has failed
+
 	// The verdict on the version in force, and the way back.
 	verifying          bool // within its hold
 	holdUntil          balancer.Micros
@@ -69,7 +73,7 @@
 	m := &Machine{
 		options: o, host: host, rng: rand.New(rand.NewPCG(o.Seed, backoffStream)),
 		latest: map[ResourceType]*Response{}, undecodable: map[ResourceType]bool{}, ackedVersions: map[ResourceType]string{},
-		inForce: inForce, rejectedSet: map[Number]bool{},
+		inForce: inForce, lastGood: inForce, rejectedSet: map[Number]bool{},
 	}
 	for _, n := range rejected {
 		m.markRejected(n)
@@ -365,6 +369,9 @@
 		m.waiting, m.applying, m.rollingBack = nil, c, false
 		m.host.Apply(c.config)
 	}
+	if m.saveAt > 0 && now >= m.saveAt {
+		m.save()
+	}
 	if m.connected && m.incompleteSince > 0 && now-m.incompleteSince >= m.options.StallTimeout {
 		m.recordEvent(m.latestNumber(), EventStreamLost, "the stream stalled in the midst of a version")
 		m.host.Close("stalled")
@@ -398,6 +405,9 @@
 	if m.waiting != nil && m.applying == nil {
 		sooner(m.applicableAt(m.waiting))
 	}
+	if m.saveAt > 0 {
+		sooner(m.saveAt)
+	}
 	if m.connected && m.incompleteSince > 0 {
 		sooner(m.incompleteSince + m.options.StallTimeout)
 	}
@@ -427,8 +437,11 @@
 
 // putInForce makes a version that was applied the one in force.
 func (m *Machine) putInForce(c *candidate) {
-	m.verifying, m.rollbackAt = false, 0 // a newer version ends what was pending about the one before it
-	m.previous, m.inForce, m.appliedAt = m.inForce, c.config, m.now
+	m.verifying, m.rollbackAt = false, 0   // a newer version ends what was pending about the one before it
+	if !m.rejectedSet[m.currentNumber()] { // a version whose rollback was pending is no way back
+		m.previous = m.inForce
+	}
+	m.inForce, m.appliedAt = c.config, m.now
 	m.recordEvent(c.config.Number, EventApplied, "")
 	m.inForceNonces = c.nonces
 	m.acknowledge(c)
@@ -443,5 +456,16 @@
 // markGood makes the version in force the last good one.
 func (m *Machine) markGood() {
 	m.verifying = false
-	m.host.Persist(m.inForce, m.rejected)
+	m.lastGood = m.inForce
+	m.save()
 }
+
+// save saves what a restart begins with. After a failure it is called again by Tick.
+func (m *Machine) save() {
+	m.saveAt = 0
+	if err := m.host.Persist(m.lastGood, m.rejected); err != nil {
+		m.scheduleSave()
+	}
+}
+
+func (m *Machine) scheduleSave() { m.saveAt = m.now + max(1, m.options.SaveRetryInterval) }
--- a/internal/configversion/machine_fleet_test.go
+++ b/internal/configversion/machine_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -92,8 +93,12 @@
 	acks      map[string]bool // answers by nonce: true is an acknowledgement
 	applied   []Number
 	wake      balancer.Micros
+
+	storeFails bool
 }
 
+var errStoreFails = errors.New("no space left on device")
+
 func newFleet(tb testing.TB, seed uint64, gateways int) *fleet {
 	tb.Helper()
 	f := &fleet{tb: tb, rng: rand.New(rand.NewPCG(seed, 3)), up: true, now: sec, badTransition: map[Number]bool{}, worse: map[Number]bool{}}
@@ -188,8 +193,16 @@
 	})
 }
 
-func (g *gatewaySim) Persist(c *Config, rejected []Number) {
+func (g *gatewaySim) Persist(c *Config, rejected []Number) error {
+	if g.storeFails {
+		return errStoreFails
+	}
 	g.persisted, g.rejected = c, slices.Clone(rejected)
+	return nil
+}
+
+func (g *gatewaySim) PersistRollback(c *Config, rejected []Number) error {
+	return g.Persist(c, rejected)
 }
 
 func (g *gatewaySim) RecordEvent(e Event) {
@@ -553,8 +566,8 @@
 	if numberOf(g.inForce) != 4 || g.machine.InForce().Number != 4 {
 		t.Errorf("on %d", numberOf(g.inForce))
 	}
-	if !g.machine.Rollback(f.now, "ordered") {
-		t.Error("there is a version to roll back")
+	if err := g.machine.Rollback(f.now, "ordered"); err != nil {
+		t.Error("there is a version to roll back", err)
 	}
 	f.runUntil(f.now + sec)
 	if g.inForce != nil || !slices.Contains(g.machine.Rejected(), 4) {
--- a/internal/configversion/machine_model_test.go
+++ b/internal/configversion/machine_model_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -67,10 +68,13 @@
 			s.t.Fatalf("version %d ordered in part: %+v", n, c)
 		}
 	}
+	if n <= s.inForce && s.persisted != n {
+		s.t.Fatalf("a rollback to %d is ordered, persisted is %d", n, s.persisted)
+	}
 	s.pending, s.applyPending = c, true
 }
 
-func (s *model) Persist(c *Config, rejected []Number) {
+func (s *model) Persist(c *Config, rejected []Number) error {
 	s.persisted = numberOf(c)
 	if s.persisted != s.inForce {
 		s.t.Fatalf("persisted %d, in force is %d", s.persisted, s.inForce)
@@ -80,6 +84,15 @@
 			s.t.Fatalf("persisted %d, which must not be applied", n)
 		}
 	}
+	return nil
+}
+
+func (s *model) PersistRollback(c *Config, rejected []Number) error {
+	s.persisted = numberOf(c)
+	if s.persisted == s.inForce || s.applyPending || !slices.Contains(rejected, s.inForce) || s.persisted != 0 && slices.Contains(rejected, s.persisted) {
+		s.t.Fatalf("a rollback from %d to %d is persisted, rejected %v", s.inForce, s.persisted, rejected)
+	}
+	return nil
 }
 
 func (s *model) RecordEvent(e Event) {
@@ -230,7 +243,7 @@
 			},
 			"rollback": func(t *rapid.T) {
 				if rapid.IntRange(0, 5).Draw(t, "really") == 0 {
-					s.machine.Rollback(s.now, "ordered")
+					_ = s.machine.Rollback(s.now, "ordered")
 				}
 			},
 			"": func(t *rapid.T) {
--- a/internal/configversion/rollback.go
+++ b/internal/configversion/rollback.go
@@ -1,7 +1,9 @@
 package configversion
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 
 	"archknot/balancer"
 )
@@ -60,21 +62,61 @@
 	m.markGood()
 }
 
-// Rollback is an operator's order to return to the previous version. It reports whether
-// a rollback was started: not where the configuration files are in force, or a version
-// is being applied.
-func (m *Machine) Rollback(now balancer.Micros, reason string) bool {
+// ErrCannotRollBack is returned for an operator's rollback where the configuration files
+// are in force, or a version is being applied.
+var ErrCannotRollBack = errors.New("there is no streamed version in force, or one is being applied")
+
+// RollbackNotSavedError is returned for an operator's rollback that could not be saved: a
+// restart would have undone it.
+type RollbackNotSavedError struct{ Err error }
+
+func (e *RollbackNotSavedError) Error() string {
+	return "not rolled back, as the store cannot be written: " + e.Err.Error()
+}
+
+// Unwrap returns the error of the store.
+func (e *RollbackNotSavedError) Unwrap() error { return e.Err }
+
+// Rollback is an operator's order to return to the previous version. The return has
+// started, and is saved, when it returns nil; otherwise nothing has changed.
+func (m *Machine) Rollback(now balancer.Micros, reason string) error {
 	m.now = now
 	if m.inForce == nil || m.applying != nil {
-		return false
+		return ErrCannotRollBack
+	}
+	if err := m.persistRollback(); err != nil {
+		return &RollbackNotSavedError{err}
 	}
 	m.verifying = false
-	m.startRollback(reason)
-	return true
+	m.orderPrevious(reason)
+	return nil
 }
 
-// startRollback orders the previous version.
+// startRollback starts a rollback that no operator waits for. It goes on where it can't be
+// saved: requests are served worse meanwhile, and the save is tried again.
 func (m *Machine) startRollback(reason string) {
+	_ = m.persistRollback() // the host has logged it
+	m.orderPrevious(reason)
+}
+
+// persistRollback saves the rollback of the version in force, before it has any effect: a
+// process that ends at any later moment begins with the previous version.
+func (m *Machine) persistRollback() error {
+	if m.rejectedSet[m.inForce.Number] {
+		return nil // saved before; requests in flight didn't allow the rollback
+	}
+	rejected := append(slices.Clone(m.rejected), m.inForce.Number)
+	if err := m.host.PersistRollback(m.previous, rejected[max(0, len(rejected)-maxRejected):]); err != nil {
+		m.scheduleSave() // what holds is saved again: the failed write may have reached the disk
+		return err
+	}
+	m.lastGood, m.saveAt = m.previous, 0
+	m.markRejected(m.inForce.Number)
+	return nil
+}
+
+// orderPrevious orders the previous version.
+func (m *Machine) orderPrevious(reason string) {
 	m.rollbackAt = 0
 	m.applying, m.rollingBack = &candidate{config: m.previous, reason: reason}, true
 	m.host.Apply(m.previous)
@@ -98,7 +140,8 @@
 	m.inForce, m.previous, m.appliedAt = c.config, nil, m.now
 	m.recordEvent(bad.Number, EventRolledBack, c.reason)
 	clear(m.ackedVersions)
-	m.host.Persist(m.inForce, m.rejected)
+	m.lastGood = m.inForce
+	m.save()
 	if m.connected {
 		m.rejectInForce(bad.Number, c.reason)
 	}
--- a/internal/xdsclient/client.go
+++ b/internal/xdsclient/client.go
@@ -37,9 +37,6 @@
 // countInterval is how often requests that ended are counted.
 const countInterval = 100 * time.Millisecond
 
-// errCannotRollBack is the answer to an operator's rollback that isn't possible now.
-var errCannotRollBack = errors.New("there is no streamed version in force, or one is being applied")
-
 // Client follows a control service. The goroutine of Run owns the machine; the stream's
 // goroutines post their events to it.
 type Client struct {
@@ -97,19 +94,17 @@
 	}
 }
 
-// Rollback starts the return to the previous version. It may be called by any goroutine
-// while Run runs.
+// Rollback starts the return to the previous version. With nil that is saved, and outlives
+// the process; otherwise nothing has changed. It may be called by any goroutine while Run
+// runs.
 func (c *Client) Rollback(ctx context.Context, reason string) error {
-	started := make(chan bool, 1)
+	started := make(chan error, 1)
 	if !c.post(ctx, func(now balancer.Micros) { started <- c.machine.Rollback(now, reason) }) {
 		return ctx.Err()
 	}
 	select {
-	case ok := <-started:
-		if !ok {
-			return errCannotRollBack
-		}
-		return nil
+	case err := <-started:
+		return err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -259,12 +254,24 @@
 	}()
 }
 
-// Persist saves a version in the store; a failure is logged.
-func (c *Client) Persist(v *configversion.Config, rejected []configversion.Number) {
+// Persist saves the last good version in the store. A failure is logged.
+func (c *Client) Persist(v *configversion.Config, rejected []configversion.Number) error {
+	return c.saveVersion(v, rejected)
+}
+
+// PersistRollback saves in the store that the version in force is given back. A failure is
+// logged.
+func (c *Client) PersistRollback(previous *configversion.Config, rejected []configversion.Number) error {
+	return c.saveVersion(previous, rejected)
+}
+
+func (c *Client) saveVersion(v *configversion.Config, rejected []configversion.Number) error {
 	if c.options.Store == nil {
-		return
+		return nil
 	}
-	c.logStoreFailure(c.options.Store.SaveVersion(v, rejected))
+	err := c.options.Store.SaveVersion(v, rejected)
+	c.logStoreFailure(err)
+	return err
 }
 
 // RecordEvent logs an event, and appends it to the store's history unless it is about the
--- a/internal/xdsclient/store_kill_test.go
+++ b/internal/xdsclient/store_kill_test.go
@@ -25,6 +25,9 @@
 	if path := os.Getenv(storeWriterEnv); path != "" {
 		writeVersionsUntilKilled(path)
 	}
+	if os.Getenv(rollbackStoreEnv) != "" {
+		rollBackUntilKilled()
+	}
 	os.Exit(m.Run())
 }
 
