takeover: a decision that outruns the record tells the time that is left

Callers saw: a request that was taken over a second time, from a backup that had heard of the first take-over before it had the record, was answered with no time left, so it was shed. Cause: decidedUpdate set no TimeLeft, and handleUpdate dates a record that it adds by that. TestDecisionBeforeTheRecordTellsTheTimeLeft failed before (deadline 110 for 510).

--- a/internal/takeover/backup.go
+++ b/internal/takeover/backup.go
@@ -273,7 +273,7 @@
 	decision.startedAt = now
 	decision.lastSentAt = now
 	decision.awaitingAcks = []Member{}
-	decision.retransmit = n.decidedUpdate(record)
+	decision.retransmit = decidedUpdate(now, record)
 	decision.retransmit.RequestID = id
 	for _, member := range n.chainMembers(record.backups, decision.request.Chain) {
 		if member != n.self && !n.isDead(member) {
@@ -285,7 +285,7 @@
 }
 
 // decidedUpdate returns the record as it will be once the pending decision has been granted.
-func (n *Node) decidedUpdate(record *requestRecord) Message {
+func decidedUpdate(now Micros, record *requestRecord) Message {
 	request := record.decision.request
 	update := Message{
 		Kind:          MsgUpdate,
@@ -294,6 +294,7 @@
 		Epoch:         record.epoch,
 		ResumeSeq:     record.resumeSeq,
 		Policy:        record.policy,
+		TimeLeft:      max(0, record.deadline-now),
 		Backups:       record.backups,
 		PermitGranted: true,
 		Chain:         request.Chain,
@@ -309,7 +310,7 @@
 // finishDecision sends the result of a decision: granted for ReasonNone, else rejected.
 func (n *Node) finishDecision(now Micros, id string, record *requestRecord, reason Reason) {
 	decision := record.decision
-	update := n.decidedUpdate(record)
+	update := decidedUpdate(now, record)
 	record.decision = nil
 	if reason == ReasonNone {
 		n.mergeHolder(record, update)
