peers: the result of a query that was given up counts for no other query

Callers saw, after a freeze of the gateway: two gateways ran one request. Lease.query took whatever result came next, so the late grant of a permit, whose attempt had ended, counted as a valid lease, and the late reply to a lease check as a permit. A lease check that was still pending from before a second freeze was not asked again. The late permit itself was lost, and while its query was pending the next attempt was refused.

A lease now names the result that it waits for; a permit whose caller has gone is kept for the next attempt, which also joins a query that is pending; CheckLease starts anew.

The four tests of lease_test.go failed before (permit taken for a valid lease, check taken for a permit, a check from before the second freeze, permit lost in each of three cases).

--- a/internal/peers/lease.go
+++ b/internal/peers/lease.go
@@ -21,6 +21,12 @@
 	checkedFreezes atomic.Int64 // the process's freezes after which the lease was still valid
 	queryMu        sync.Mutex   // one query at a time
 	replies        chan takeover.Output
+
+	// The fields below are guarded by the service's lock.
+
+	awaited       takeover.Action // result that a goroutine waits for; 0: none does
+	permitPending bool            // a permit query has no result yet
+	unusedPermit  bool            // granted when its caller had gone
 }
 
 // Acquire makes this gateway the first holder of a request's lease and has the record
@@ -63,44 +69,74 @@
 	go l.cancel()
 }
 
-// deliver passes the result of a query to the goroutine that waits for it. The caller holds
-// the service's lock.
+// deliver passes the result of a query to the goroutine that waits for it. A permit whose
+// caller has gone is kept for the next attempt. The caller holds the service's lock.
 func (l *Lease) deliver(o takeover.Output) {
-	select {
-	case l.replies <- o:
-	default: // no goroutine waits any more
+	if o.Action == takeover.ActionPermitResult {
+		l.permitPending = false
+	}
+	switch {
+	case o.Action == l.awaited:
+		l.awaited = 0
+		l.replies <- o // it has room for the one result that is awaited
+	case o.Action == takeover.ActionPermitResult && o.OK:
+		l.unusedPermit = true
 	}
 }
 
 // query starts a query to the backups and waits for its result, which is false if the context
-// ends first.
-func (l *Lease) query(ctx context.Context, start func(now int64)) bool {
+// ends first. The result of another query, which was given up, does not count.
+func (l *Lease) query(ctx context.Context, result takeover.Action, start func(now int64)) bool {
 	l.queryMu.Lock()
 	defer l.queryMu.Unlock()
-	l.startQuery(start)
+	l.startQuery(result, start)
 	select {
 	case o := <-l.replies:
 		return o.OK
 	case <-ctx.Done():
+		l.giveUpQuery()
 		return false
 	}
 }
 
-func (l *Lease) startQuery(start func(now int64)) {
+func (l *Lease) startQuery(result takeover.Action, start func(now int64)) {
 	l.service.mu.Lock()
 	defer l.service.mu.Unlock()
-	select {
-	case <-l.replies: // the result of a query that was given up
-	default:
-	}
 	now := l.service.now()
+	l.awaited = result
 	start(now)
 	l.service.runOutputs(now)
 }
 
+// giveUpQuery ends the wait for a result. One that has come meanwhile is delivered again, to
+// nobody.
+func (l *Lease) giveUpQuery() {
+	l.service.mu.Lock()
+	defer l.service.mu.Unlock()
+	l.awaited = 0
+	select {
+	case o := <-l.replies:
+		l.deliver(o)
+	default:
+	}
+}
+
 // AcquirePermit asks for a permit to make another attempt, and reports whether it was granted.
 func (l *Lease) AcquirePermit(ctx context.Context) bool {
-	return !l.Lost.Load() && l.query(ctx, func(now int64) { l.service.node.RequestPermit(now, l.id) })
+	return !l.Lost.Load() && l.query(ctx, takeover.ActionPermitResult, l.requestPermit)
+}
+
+// requestPermit uses the permit of an earlier query that was given up, waits for its result,
+// or asks for a permit. The caller holds the service's lock.
+func (l *Lease) requestPermit(now int64) {
+	switch {
+	case l.unusedPermit:
+		l.unusedPermit = false
+		l.deliver(takeover.Output{Action: takeover.ActionPermitResult, RequestID: l.id, OK: true})
+	case !l.permitPending:
+		l.permitPending = true
+		l.service.node.RequestPermit(now, l.id)
+	}
 }
 
 // Valid reports whether this gateway still has the lease. It is to be called before anything of
@@ -118,7 +154,7 @@
 	if l.checkedFreezes.Load() == freezes {
 		return true
 	}
-	if !l.query(ctx, func(now int64) { s.node.CheckLease(now, l.id) }) {
+	if !l.query(ctx, takeover.ActionLeaseCheckResult, func(now int64) { s.node.CheckLease(now, l.id) }) {
 		return false
 	}
 	l.checkedFreezes.Store(freezes)
--- /dev/null
+++ b/internal/peers/lease_test.go
@@ -0,0 +1,152 @@
+package peers
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"archknot/internal/takeover"
+)
+
+// answerDelay is more than a query needs to begin.
+const answerDelay = 50 * time.Millisecond
+
+// leaseRig is a lease with one backup, whose answers the test gives.
+type leaseRig struct {
+	*testing.T
+	service *Service
+	lease   *Lease
+	backup  takeover.Member
+}
+
+func newLeaseRig(t *testing.T) *leaseRig {
+	t.Helper()
+	service, err := Start(Options{Name: "g1", ListenAddr: "127.0.0.1:0", Backups: 1, Permits: 2, ReplyTimeout: 10 * time.Second, RecordTTL: time.Minute,
+		FreezeThreshold: time.Hour, MaxRecords: 10, MaxRecordsPerHolder: 10, RandomSeed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(service.Close)
+	rig := &leaseRig{T: t, service: service, backup: takeover.Member{Name: "g2", Incarnation: 7}}
+	service.mu.Lock()
+	service.syncMembers(service.now())
+	service.backupCandidates = []takeover.Member{rig.backup}
+	service.mu.Unlock()
+	rig.lease = service.Acquire("r1", takeover.RetryPolicy{Idempotent: true}, time.Minute, func() {})
+	return rig
+}
+
+// answer gives the backup's answer to a query; queries are numbered from 1.
+func (r *leaseRig) answer(kind takeover.MessageKind, query uint32, ok bool) {
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	now := r.service.now()
+	r.service.node.Receive(now, r.backup, takeover.Message{Kind: kind, ToIncarnation: r.service.self.Incarnation, RequestID: "r1", QueryID: query, OK: ok})
+	r.service.runOutputs(now)
+}
+
+// giveUp makes a query whose caller leaves before it is answered.
+func (r *leaseRig) giveUp(query func(context.Context) bool) {
+	r.Helper()
+	ctx, cancel := context.WithTimeout(r.Context(), time.Millisecond)
+	defer cancel()
+	if query(ctx) {
+		r.Fatal("a query without an answer succeeded")
+	}
+}
+
+// begin makes a query and returns where its result will be.
+func (r *leaseRig) begin(query func(context.Context) bool) <-chan bool {
+	result := make(chan bool, 1)
+	go func() { result <- query(r.Context()) }()
+	time.Sleep(answerDelay)
+	return result
+}
+
+func (r *leaseRig) expect(result <-chan bool, want bool) {
+	r.Helper()
+	select {
+	case got := <-result:
+		if got != want {
+			r.Errorf("the query's result is %t", got)
+		}
+	case <-time.After(time.Second):
+		r.Error("the query has no result")
+	}
+}
+
+func (r *leaseRig) expectPending(result <-chan bool) {
+	r.Helper()
+	select {
+	case got := <-result:
+		r.Errorf("the query ended with %t before its own answer", got)
+	case <-time.After(answerDelay):
+	}
+}
+
+// Guards against: the late reply to a permit query counts as a valid lease, and two gateways run one request.
+func TestLatePermitIsNoValidLease(t *testing.T) {
+	r := newLeaseRig(t)
+	r.giveUp(r.lease.AcquirePermit)
+	r.service.freezes.Add(1)
+	valid := r.begin(r.lease.Valid)
+	r.answer(takeover.MsgPermitReply, 1, true)
+	r.expectPending(valid)
+	r.answer(takeover.MsgLeaseCheckReply, 2, false)
+	r.expect(valid, false)
+}
+
+// Guards against: the late reply to a lease check counts as a permit, and one attempt more than granted is made.
+func TestLateLeaseCheckIsNoPermit(t *testing.T) {
+	r := newLeaseRig(t)
+	r.service.freezes.Add(1)
+	r.giveUp(r.lease.Valid)
+	permit := r.begin(r.lease.AcquirePermit)
+	r.answer(takeover.MsgLeaseCheckReply, 1, true)
+	r.expectPending(permit)
+	r.answer(takeover.MsgPermitReply, 2, true)
+	r.expect(permit, true)
+}
+
+// Guards against: a reply to a lease check from before a second freeze counts for the time after it.
+func TestLeaseIsCheckedAnewAfterAnotherFreeze(t *testing.T) {
+	r := newLeaseRig(t)
+	r.service.freezes.Add(1)
+	r.giveUp(r.lease.Valid)
+	r.service.freezes.Add(1)
+	valid := r.begin(r.lease.Valid)
+	r.answer(takeover.MsgLeaseCheckReply, 1, true)
+	r.expectPending(valid)
+	r.answer(takeover.MsgLeaseCheckReply, 2, true)
+	r.expect(valid, true)
+}
+
+// Guards against: a permit that is granted after its attempt has ended is lost, and the request is not retried.
+func TestPermitOfAnEndedAttemptIsKept(t *testing.T) {
+	t.Run("granted before the next attempt", func(t *testing.T) {
+		r := newLeaseRig(t)
+		r.giveUp(r.lease.AcquirePermit)
+		r.answer(takeover.MsgPermitReply, 1, true)
+		r.expect(r.begin(r.lease.AcquirePermit), true)
+	})
+	t.Run("granted while the next attempt waits", func(t *testing.T) {
+		r := newLeaseRig(t)
+		r.giveUp(r.lease.AcquirePermit)
+		permit := r.begin(r.lease.AcquirePermit)
+		r.answer(takeover.MsgPermitReply, 1, true)
+		r.expect(permit, true)
+	})
+	t.Run("used once", func(t *testing.T) {
+		r := newLeaseRig(t)
+		r.giveUp(r.lease.AcquirePermit)
+		r.answer(takeover.MsgPermitReply, 1, true)
+		r.expect(r.begin(r.lease.AcquirePermit), true)
+		select {
+		case granted := <-r.begin(r.lease.AcquirePermit):
+			if granted {
+				t.Error("one permit allowed two attempts")
+			}
+		default: // it waits for the backup
+		}
+	})
+}
--- a/internal/takeover/lease.go
+++ b/internal/takeover/lease.go
@@ -214,16 +214,14 @@
 
 // CheckLease asks the backups whether this gateway still holds a lease: after a freeze of the
 // process, before anything of the request is sent, relayed or charged. The result is an
-// ActionLeaseCheckResult.
+// ActionLeaseCheckResult. A check that is pending starts anew: its replies may be older than
+// the freeze.
 func (n *Node) CheckLease(now Micros, id string) {
 	lease := n.leases[id]
 	if lease == nil || lease.stopped {
 		n.emit(Output{Action: ActionLeaseCheckResult, RequestID: id})
 		return
 	}
-	if lease.leaseCheck != nil {
-		return
-	}
 	lease.leaseCheck = &pendingQuery{}
 	n.startQuery(now, lease.leaseCheck, lease.backups, n.leaseMessage(MsgLeaseCheck, id, lease))
 	n.advanceLeaseCheck(now, id, lease)
