configversion: a version without a hold is saved before it is acknowledged

The service was told that a version is in force before the store had it: a process that ended in between began, without the service, with the version before. A version with a hold is saved when the hold has passed, as before. TestVersionIsSavedBeforeItIsAcknowledged failed before ("acknowledged with version 0 saved").

--- a/internal/configversion/machine.go
+++ b/internal/configversion/machine.go
@@ -444,13 +444,13 @@
 	m.inForce, m.appliedAt = c.config, m.now
 	m.recordEvent(c.config.Number, EventApplied, "")
 	m.inForceNonces = c.nonces
-	m.acknowledge(c)
 	m.observed = outcomeTally{}
 	if r := c.config.Rollout; r.Hold > 0 && r.MaxRegression > 0 {
 		m.verifying, m.holdUntil = true, m.now+r.Hold
 	} else {
 		m.markGood()
 	}
+	m.acknowledge(c)
 }
 
 // markGood makes the version in force the last good one.
--- a/internal/configversion/machine_fleet_test.go
+++ b/internal/configversion/machine_fleet_test.go
@@ -95,6 +95,7 @@
 	wake      balancer.Micros
 
 	storeFails bool
+	onAck      func() // called when a version is acknowledged; may be nil
 }
 
 var errStoreFails = errors.New("no space left on device")
@@ -172,6 +173,9 @@
 		g.fleet.tb.Errorf("%s: answered %s on stream %d", g.name, nonce, g.stream)
 	}
 	g.acks[nonce] = reason == ""
+	if reason == "" && g.onAck != nil {
+		g.onAck()
+	}
 }
 
 func (g *gatewaySim) Apply(c *Config) {
--- a/internal/configversion/rollback_test.go
+++ b/internal/configversion/rollback_test.go
@@ -103,3 +103,23 @@
 		t.Errorf("in force %d, persisted %d, not 4", numberOf(g.inForce), numberOf(g.persisted))
 	}
 }
+
+// Guards against: the service is told that a version is in force, and a restart without the service begins with the
+// one before.
+func TestVersionIsSavedBeforeItIsAcknowledged(t *testing.T) {
+	f := newFleet(t, 8, 1)
+	f.runUntil(2 * sec)
+	g := f.gateways[0]
+	acknowledged := false
+	g.onAck = func() {
+		acknowledged = true
+		if numberOf(g.persisted) != 4 {
+			t.Errorf("acknowledged with version %d saved", numberOf(g.persisted))
+		}
+	}
+	f.publish(version(4))
+	f.runUntil(f.now + 2*sec)
+	if !acknowledged {
+		t.Error("not acknowledged")
+	}
+}
