--- a/balancer/discovery_test.go
+++ b/balancer/discovery_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -450,3 +451,16 @@
 	}
 	return to
 }
+
+// Guards against: an explained request gives no reason where a doubtful list kept a replica out.
+func TestDoubtfulListIsGivenAsReason(t *testing.T) {
+	s := eightyGateways()
+	s.Gateways, s.DrainGrace = 3, 2_500_000
+	b, rec := silence(t, s, 107*second, ListUnavailable)
+	now := 100*second + s.ListTrust()
+	rec.acts = nil
+	b.requests[1] = b.newRequest(now, testRequest(1))
+	if reason := b.ExclusionReason(now, 1, b.rows[0].id); !strings.Contains(reason, "doubtful") {
+		t.Errorf("the reason is %q", reason)
+	}
+}
--- a/balancer/introspect.go
+++ b/balancer/introspect.go
@@ -159,6 +159,8 @@
 		return "a health check is overdue"
 	case b.ListStale(now):
 		return fmt.Sprintf("no word of discovery for %.3f s", float64(b.ListAge(now))/microsPerSecond)
+	case b.needsConfirmation(now, row):
+		return "the list is doubtful, and no health check has confirmed the replica"
 	case !lastResort && row.onTrial():
 		return "on trial after a failure, with one attempt in flight"
 	}
