--- a/internal/capture/run.go
+++ b/internal/capture/run.go
@@ -214,6 +214,9 @@
 	}
 }
 
+// errNoPath is returned where no path of a capture is given.
+var errNoPath = errors.New("no path of a capture is given")
+
 // FindRuns opens the captures that the paths name: segments, and directories of segments. The segments of one
 // recording make a run. Segments that cannot be read are noted in the runs, if there is another that can.
 func FindRuns(paths ...string) ([]*Run, error) {
@@ -241,6 +244,9 @@
 
 // findSegments returns the files that the paths name.
 func findSegments(paths []string) ([]string, error) {
+	if len(paths) == 0 {
+		return nil, errNoPath
+	}
 	var files []string
 	for _, p := range paths {
 		info, err := os.Stat(p)
