--- a/internal/replay/compare.go
+++ b/internal/replay/compare.go
@@ -32,21 +32,16 @@
 // event, and what this build decides, separated by tabs. CompareBuilds compares the lines of two builds.
 func Emit(run *capture.Run, o Options, out io.Writer) (*Result, error) {
 	w := bufio.NewWriterSize(out, emitBufferSize)
-	var writeErr error
-	o.OnStep = func(s *Step) {
-		if err := emitStep(w, run, s); err != nil && writeErr == nil {
-			writeErr = err
-		}
-	}
+	o.OnStep = func(s *Step) { emitStep(w, run, s) }
 	result, err := Replay(run, o)
 	if err == nil {
-		err = errors.Join(writeErr, w.Flush())
+		err = w.Flush()
 	}
 	return result, err
 }
 
-// emitStep writes the line of one event. The writer's errors are sticky: the last write returns them.
-func emitStep(w *bufio.Writer, run *capture.Run, s *Step) error {
+// emitStep writes the line of one event. The writer's errors are sticky: Flush returns them.
+func emitStep(w *bufio.Writer, run *capture.Run, s *Step) {
 	class := ""
 	subject := filterSubject{names: s.Names, record: s.Record}
 	if id := subject.request(); s.Names.requests[id] != nil {
@@ -63,7 +58,7 @@
 	for _, d := range s.Differences {
 		fmt.Fprintf(w, "; by itself (%s): %s", d.Kind, stripSeparators(d.Own))
 	}
-	return w.WriteByte('\n')
+	fmt.Fprintln(w)
 }
 
 // stripSeparators replaces the characters that separate fields and lines by spaces.
