gateway: the attempt log says how old the replica's load report was

TestSiteLost's late attempts could not be told apart by the logs: a replica that had been polled in vain, one whose report was old, and one of which nothing had been heard since it started. report_age_ms says which (-1: none).

--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -24,9 +24,9 @@
 	if replica == nil { // the list changed since the decision: without an address it never runs
 		replica = &endpoint.Replica{ID: to}
 	}
-	l.recordReportAge(to)
 	attempt := l.requests.StartAttempt(r, replica, l.now, timeoutAt)
-	attempt.Cause, attempt.Basis = attemptCause(r), l.attemptBasis(r)
+	attempt.Cause, attempt.Basis = attemptCause(r), l.attemptBasis(r, to)
+	l.recordReportAge(attempt.Basis.ReportAge)
 	if !l.accounting.chargeAttempt(l.now, attempt) {
 		attempt.Cancel()
 		l.deferred = append(l.deferred, attemptEnded{attempt: attempt, status: balancer.NotSent})
@@ -142,15 +142,18 @@
 	return attemptRetry
 }
 
-// attemptBasis returns what the newest attempt of a request is decided on.
-func (l *eventLoop) attemptBasis(r *inflight.Request) inflight.Basis {
-	return inflight.Basis{ListVersion: l.endpoints.Version(), ListAge: l.balancer.ListAge(l.now), After: r.LastStatus}
+// attemptBasis returns what the newest attempt of a request, at a replica, is decided on.
+func (l *eventLoop) attemptBasis(r *inflight.Request, to balancer.ReplicaID) inflight.Basis {
+	reportAge, known := l.balancer.ReportAge(l.now, to)
+	if !known {
+		reportAge = inflight.ReportUnknown
+	}
+	return inflight.Basis{ListVersion: l.endpoints.Version(), ListAge: l.balancer.ListAge(l.now), ReportAge: reportAge, After: r.LastStatus}
 }
 
-// recordReportAge counts the age of the load report that an attempt at a replica is based on.
-func (l *eventLoop) recordReportAge(to balancer.ReplicaID) {
-	age, known := l.balancer.ReportAge(l.now, to)
-	if !known {
+// recordReportAge counts the age of the load report that an attempt is based on.
+func (l *eventLoop) recordReportAge(age balancer.Micros) {
+	if age == inflight.ReportUnknown {
 		l.reports.WithoutReport++
 		return
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -172,7 +172,16 @@
 		slog.Int("http_status", e.httpStatus),
 		slog.String("after", e.attempt.Basis.After),
 		slog.Int64("list_version", e.attempt.Basis.ListVersion),
-		slog.Int64("list_age_ms", e.attempt.Basis.ListAge/microsPerMilli))
+		slog.Int64("list_age_ms", e.attempt.Basis.ListAge/microsPerMilli),
+		slog.Int64("report_age_ms", reportAgeMillis(e.attempt.Basis.ReportAge)))
+}
+
+// reportAgeMillis is the age of a load report in milliseconds, and -1 for none.
+func reportAgeMillis(age balancer.Micros) balancer.Micros {
+	if age == inflight.ReportUnknown {
+		return -1
+	}
+	return age / microsPerMilli
 }
 
 // healthCheckEnded is the outcome of a health check.
--- a/internal/inflight/request.go
+++ b/internal/inflight/request.go
@@ -78,10 +78,14 @@
 // AttemptsInFlight returns the number of the request's attempts that have not ended.
 func (r *Request) AttemptsInFlight() int { return r.attemptsInFlight }
 
+// ReportUnknown is the ReportAge of a replica that has sent no load report since it started.
+const ReportUnknown balancer.Micros = -1
+
 // Basis is what an attempt was decided on, for the log.
 type Basis struct {
 	ListVersion int64           // of the endpoint list
 	ListAge     balancer.Micros // since discovery's last word
+	ReportAge   balancer.Micros // of the replica's load report; ReportUnknown: it has sent none
 	After       string          // status of the attempt that ended before; empty: none has ended
 }
 
