--- a/cmd/archknot/fakediscovery_test.go
+++ b/cmd/archknot/fakediscovery_test.go
@@ -19,8 +19,12 @@
 	discoveryUnavailable                // it answers with 503
 	discoveryResets                     // it resets each connection without an answer
 	discoverySilent                     // it accepts calls and answers none
+	discoveryBusy                       // it answers with 503 after busyDelay, as one that has too many callers
 )
 
+// busyDelay is how long a call waits at a busy discovery for its answer.
+const busyDelay = time.Second
+
 // fakeDiscovery is a discovery service with long polls.
 type fakeDiscovery struct {
 	addr        string
@@ -33,7 +37,7 @@
 	polledSince int         // the latest version that a poll gave as its own
 	calls       int
 	fault       discoveryFault
-	silencedAt  time.Time     // calls that began before get no answer
+	silencedAt  time.Time     // calls that began before get no answer, but a reset if the service resets all
 	changed     chan struct{} // closed with the next change of any kind
 }
 
@@ -118,7 +122,8 @@
 	for end := time.After(time.Duration(waitMs) * time.Millisecond); ; {
 		d.mu.Lock()
 		fault, changed := d.fault, d.changed
-		if begun.Before(d.silencedAt) {
+		silenced := begun.Before(d.silencedAt)
+		if silenced && fault != discoveryResets {
 			fault = discoverySilent
 		}
 		answer, hasNews := "", false
@@ -134,6 +139,17 @@
 		case fault == discoveryResets:
 			resetConn(w)
 			return
+		case fault == discoveryBusy:
+			time.Sleep(busyDelay)
+			http.Error(w, "too many callers", http.StatusServiceUnavailable)
+			return
+		case silenced:
+			select {
+			case <-changed:
+				continue
+			case <-r.Context().Done():
+				return
+			}
 		case fault == discoverySilent:
 			<-r.Context().Done()
 			return
