balancer: the warming replica that a first attempt may go to is the one that it polled

Callers saw, where a zone was lost again soon after its return: requests sent into it more than 1.5 s after the second loss, which waited for the reset or a hedge (TestSiteLost, listed).

Cause: each pick drew the warming replica on offer anew. The request polled the one that was offered at its arrival, and was sent to another, drawn when the answers had come.

--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -20,7 +20,7 @@
 // for load reports.
 func (b *Balancer) pick(now Micros, req *request) (best *replicaRow, cachedTokens float64, wait bool) {
 	b.mayPoll = b.largeFleet() && len(req.attempts) == 0 && now == req.arrivedAt && req.deadline-now >= 8*pollTimeout
-	b.offeredWarming = b.offerWarming(now, req)
+	b.offeredWarming = b.offerTo(now, req)
 	b.scan(now, req)
 	if b.pollShortlist(now, req) {
 		b.breakdowns = b.breakdowns[:0]
--- a/balancer/polling_test.go
+++ b/balancer/polling_test.go
@@ -120,3 +120,38 @@
 func (breakdownChecker) Admit(_ RequestID, own bool) bool { return own }
 
 func (breakdownChecker) Retry(_ RequestID, own bool) bool { return own }
+
+// The warming replica that a request may go to is drawn once an attempt: it is the one that was polled. Guards against
+// requests sent to a replica that nothing has been heard of since it started.
+func TestWarmingReplicaOnOfferIsTheOnePolled(t *testing.T) {
+	endpoints := fleet(40)
+	for i := range 20 {
+		endpoints[20+i].StartedAt = 95 * second
+	}
+	sentToWarming := 0
+	for seed := range uint64(400) {
+		rec := &recorder{}
+		b, _ := New(eightyGateways(), seed, rec)
+		b.Start(100 * second)
+		b.ListChanged(100*second, EndpointList{Kind: ListFull, Endpoints: endpoints})
+		b.meanHeldTokens, b.meanLoad = 1200, 9600
+		now := 101 * second
+		b.RequestArrived(now, testRequest(1))
+		polled := healthChecked(rec)
+		for _, id := range polled {
+			b.HealthCheckEnded(now+1000, Outcome{Replica: id, Status: Served, Report: reportInFlight(12)})
+		}
+		for _, sent := range rec.take("dispatch") {
+			if sent.to <= 20 {
+				continue
+			}
+			sentToWarming++
+			if !slices.Contains(polled, sent.to) {
+				t.Errorf("seed %d: sent to the warming replica %d, polled were %v", seed, sent.to, polled)
+			}
+		}
+	}
+	if sentToWarming == 0 {
+		t.Error("no warming replica got anything")
+	}
+}
--- a/balancer/slowstart.go
+++ b/balancer/slowstart.go
@@ -32,6 +32,22 @@
 	return b.settings.InitialCapacity + (1-b.settings.InitialCapacity)*age
 }
 
+// offerTo returns the warming replica that the next attempt of a request may go to, nil for
+// none. A first attempt that waits for load reports keeps its offer: what it has polled is
+// what it may be sent to.
+func (b *Balancer) offerTo(now Micros, req *request) *replicaRow {
+	if len(req.attempts) > 0 {
+		return b.offerWarming(now, req)
+	}
+	if !req.offerDrawn {
+		req.offerDrawn = true
+		if row := b.offerWarming(now, req); row != nil {
+			req.offered = row.id
+		}
+	}
+	return b.rowByID[req.offered]
+}
+
 // offerWarming picks at random the warming replica that an attempt of a request may go to, nil for
 // none. It is rule 4: all gateways together may send a warming replica no more than a
 // multiple of what it can do now, N requests of mean work in a window. Each attempt is
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -287,6 +287,8 @@
 	a.float(22, &req.PriorityFactor)
 	integer(a, 23, &req.PriorAttempts)
 	integer(a, 24, &req.AffinityTarget)
+	a.bool(25, &req.offerDrawn)
+	integer(a, 26, &req.offered)
 	if a.saving {
 		return
 	}
--- a/internal/capture/segment.go
+++ b/internal/capture/segment.go
@@ -30,7 +30,7 @@
 	// FormatMajor is the major version of the format. A capture of another one is not read.
 	FormatMajor = 1
 	// FormatMinor is the minor version of the format: each adds fields.
-	FormatMinor = 7
+	FormatMinor = 8
 
 	// Suffix is the suffix of a segment's file name.
 	Suffix = ".akcap"
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -153,12 +154,12 @@
 	run, _, _ := recordRun(t, 15, 0, 4)
 	path := run.Segments[0].Path
 	_, err := capture.FindRuns(withRewrittenHeader(t, path, func(h *pb.Header) { h.Major = 9 }))
-	if !errors.Is(err, capture.ErrUnsupportedVersion) || !strings.Contains(err.Error(), "version 9.7") {
+	if !errors.Is(err, capture.ErrUnsupportedVersion) || !strings.Contains(err.Error(), fmt.Sprintf("version 9.%d", capture.FormatMinor)) {
 		t.Errorf("another major version: %v", err)
 	}
 	// A later minor version: fields that this build does not know are ignored.
 	later := withRewrittenHeader(t, path, func(h *pb.Header) {
-		h.Minor = 7
+		h.Minor = capture.FormatMinor + 1
 		h.ProtoReflect().SetUnknown(protowire.AppendVarint(protowire.AppendTag(nil, 999, protowire.VarintType), 5))
 	})
 	if res := mustReplay(t, openRun(t, later), Options{}); res.Differing != 0 || res.Events == 0 {
