balancer: a request waits for a poll of its best replica that another request began

Callers saw, where a zone had just been lost: a request was sent into it 1.5 s after the loss, on a report from before, though the gateway was asking that very replica (TestSiteLost, listed).

In a run with a trace on a scratch copy request 20 polled a replica of the lost zone; 13 ms later request 21 arrived, preferred the same replica, and was dispatched to it at once: a replica that is being polled was not polled again, so it was not waited for either, and counted as overdue only from 30 ms on. The last report was 1.57 s old.

TestRequestJoinsAPollThatIsPending failed before.

--- a/balancer/polling.go
+++ b/balancer/polling.go
@@ -36,8 +36,8 @@
 
 // pollShortlist polls the replicas of the shortlist for load reports where theirs are
 // old, if the request has just arrived, and reports whether the request is to wait for
-// answers.
-func (b *Balancer) pollShortlist(now Micros, req *request) (wait bool) {
+// answers: also for those that another request has polled.
+func (b *Balancer) pollShortlist(now Micros, req *request) bool {
 	if !b.mayPoll {
 		return b.awaitsReports(now, req)
 	}
@@ -45,6 +45,7 @@
 	if withRandom {
 		b.addRandomCandidate(now, req)
 	}
+	req.polled = req.polled[:0]
 	for _, next := range b.shortlist {
 		row := next.row
 		if row == nil {
@@ -54,9 +55,11 @@
 			b.sendHealthCheck(now, row)
 			remaining--
 		}
-		wait = wait || row.healthCheckPending && row.healthCheckedAt == now
+		if row.healthCheckPending {
+			req.polled = append(req.polled, row.id)
+		}
 	}
-	return wait
+	return len(req.polled) > 0
 }
 
 // needsPoll reports whether what is known of a replica is too old for a pick.
@@ -93,10 +96,19 @@
 	return row == b.shortlist[0].row || row == b.shortlist[1].row
 }
 
-// awaitsReports reports whether a request waits for load reports that it has polled.
+// awaitsReports reports whether a request waits for load reports of the replicas that it
+// has polled.
 func (b *Balancer) awaitsReports(now Micros, req *request) bool {
 	return b.largeFleet() && len(req.attempts) == 0 && now > req.arrivedAt && now < req.arrivedAt+pollTimeout &&
-		slices.ContainsFunc(b.rows, func(row *replicaRow) bool { return row.healthCheckPending && row.healthCheckedAt == req.arrivedAt })
+		slices.ContainsFunc(req.polled, func(id ReplicaID) bool {
+			row := b.rowByID[id]
+			return row != nil && row.awaitedSince(req.arrivedAt)
+		})
+}
+
+// awaitedSince reports whether a health check that was sent by then has no answer yet.
+func (row *replicaRow) awaitedSince(then Micros) bool {
+	return row.healthCheckPending && row.healthCheckedAt <= then
 }
 
 // pollLimit is how many replicas a request may poll, and whether one of them is random:
--- a/balancer/polling_test.go
+++ b/balancer/polling_test.go
@@ -121,6 +121,40 @@
 
 func (breakdownChecker) Retry(_ RequestID, own bool) bool { return own }
 
+// A request whose best replica was polled by another request just before waits for that answer too. Guards against
+// requests sent to a replica that has just died, on a report from before.
+func TestRequestJoinsAPollThatIsPending(t *testing.T) {
+	s := eightyGateways()
+	b, rec := startBalancer(t, s, fleet(40)...)
+	for i, row := range b.rows { // the first ones are idle, and their reports are old
+		b.HealthCheckEnded(100*second, Outcome{Replica: row.id, Status: Served, Report: reportInFlight(float64(8 + 2*i))})
+	}
+	b.meanHeldTokens, b.meanLoad = 1200, 9600
+	rec.acts = nil
+	now := 110 * second
+	b.RequestArrived(now, testRequest(1))
+	silent := healthChecked(rec)
+	for id := RequestID(2); id < 12; id++ {
+		now += pollTimeout / 20
+		rec.acts = nil
+		b.RequestArrived(now, testRequest(id))
+		for _, to := range healthChecked(rec) {
+			b.HealthCheckEnded(now+1, Outcome{Replica: to, Status: Served, Report: reportInFlight(60)})
+		}
+		for _, sent := range rec.take("dispatch") {
+			if slices.Contains(silent, sent.to) {
+				t.Fatalf("request %d was sent to %d while a poll of it was pending, %d us old", id, sent.to, now-110*second)
+			}
+		}
+	}
+	for id := uint64(1); id < 12; id++ {
+		b.TimerFired(now+pollTimeout, timerPoll|id<<timerBits)
+		if req := b.requests[RequestID(id)]; req == nil || len(req.attempts) != 1 || slices.Contains(silent, req.attempts[0].row.id) {
+			t.Fatalf("request %d is not sent to a replica that answers: %+v", id, req)
+		}
+	}
+}
+
 // The warming replica that a request may go to is drawn once an attempt: it is the one that was polled. Guards against
 // requests sent to a replica that nothing has been heard of since it started.
 func TestWarmingReplicaOnOfferIsTheOnePolled(t *testing.T) {
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -289,6 +289,7 @@
 	integer(a, 24, &req.AffinityTarget)
 	a.bool(25, &req.offerDrawn)
 	integer(a, 26, &req.offered)
+	a.each(27, len(req.polled), func(n int) { req.polled = make([]ReplicaID, n) }, func(i int, entry *archive) { integer(entry, 1, &req.polled[i]) })
 	if a.saving {
 		return
 	}
--- a/balancer/snapshot_test.go
+++ b/balancer/snapshot_test.go
@@ -74,6 +74,9 @@
 		t.Fatal(err)
 	}
 	b.RequestArrived(now+2*second, testRequest(7))
+	for _, req := range b.requests {
+		req.polled = []ReplicaID{3}
+	}
 	b.stepFloor[1] = 7
 	b.zones.Zones[1] = &zonehealth.Zone{State: zonehealth.Unavailable, MissedReplicas: []uint64{3}, AnsweredReplicas: []uint64{4}}
 	b.zones.Zones[0].AnsweredReplicas = []uint64{4}
--- a/balancer/zones.go
+++ b/balancer/zones.go
@@ -109,10 +109,12 @@
 	}
 }
 
-// recordSilence counts the replicas that a request polled in vain as not answering.
+// recordSilence counts the replicas that were polled in vain, by a request or as it arrived,
+// as not answering.
 func (b *Balancer) recordSilence(now Micros, req *request) {
 	for _, row := range b.rows {
-		if row.healthCheckPending && row.healthCheckedAt == req.arrivedAt {
+		polled := row.healthCheckedAt == req.arrivedAt || slices.Contains(req.polled, row.id)
+		if polled && row.awaitedSince(req.arrivedAt) {
 			b.recordMiss(now, row)
 		}
 	}
