--- a/internal/faulttest/discoveryfront.go
+++ b/internal/faulttest/discoveryfront.go
@@ -90,11 +90,11 @@
 	f.changed = make(chan struct{})
 }
 
-// silenceOpenCalls leaves the calls that are open now without an answer.
-func (f *discoveryFront) silenceOpenCalls() {
+// silenceCalls leaves the calls that begin before a time without an answer.
+func (f *discoveryFront) silenceCalls(before time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.silencedAt = time.Now()
+	f.silencedAt = before
 }
 
 // state returns the mode, a channel that is closed when it changes, and whether a call that began at a time is
--- a/internal/faulttest/discoverylink.go
+++ b/internal/faulttest/discoverylink.go
@@ -81,7 +81,16 @@
 	now := time.Now()
 	l.faults = append(l.faults, linkFault{interval{now, now}, true, "the open watch falls silent"})
 	l.mu.Unlock()
-	l.front.silenceOpenCalls()
+	l.front.silenceCalls(now)
+}
+
+// silenceFor leaves all calls without an answer for a duration. Others can reach discovery meanwhile.
+func (l *discoveryLink) silenceFor(duration time.Duration) {
+	l.mu.Lock()
+	now := time.Now()
+	l.faults = append(l.faults, linkFault{interval{now, now.Add(duration)}, true, "no call is answered"})
+	l.mu.Unlock()
+	l.front.silenceCalls(now.Add(duration))
 }
 
 // linkFaultKind is a mode of the front or of the proxy: one of both is not zero.
--- a/internal/faulttest/soak.go
+++ b/internal/faulttest/soak.go
@@ -162,7 +162,7 @@
 
 const pushedEvery = 4
 
-// openingEvery is how many seeds have one that begins with playOpening.
+// openingEvery is how many seeds have one of each opening that playOpening has.
 const openingEvery = 3
 
 // drawSettings sets what a seed decides about the deployment.
@@ -212,8 +212,11 @@
 	defer endTraffic()
 	var traffic, events sync.WaitGroup
 	s.startTraffic(trafficCtx, &traffic)
-	if s.spec.Seed%openingEvery == 1 {
-		s.playOpening(ctx)
+	switch s.spec.Seed % openingEvery {
+	case 1:
+		s.playOpening(ctx, (*discoveryLink).silence)
+	case 2:
+		s.playOpening(ctx, func(link *discoveryLink) { link.silenceFor(openingSilence) })
 	}
 	eventCtx, endEvents := context.WithTimeout(ctx, time.Duration(s.spec.Duration)*time.Microsecond)
 	defer endEvents()
--- a/internal/faulttest/soakevents.go
+++ b/internal/faulttest/soakevents.go
@@ -432,15 +432,19 @@
 	// openingWatch is how long watches are open before they fall silent, openingChange how long behind that the
 	// replicas begin to drain.
 	openingWatch, openingChange = 500 * time.Millisecond, 100 * time.Millisecond
+	// openingSilence is how long no call is answered in the opening of the seeds that have this one: longer than
+	// the replicas drain, which is longer than a list is used.
+	openingSilence = openingDrain + time.Second
 )
 
-// playOpening has all open watches fall silent, and replicas that take work begin to drain right behind that; nothing
-// else happens meanwhile, so that a gateway has nothing but its own calls to learn of it.
-func (s *soakRun) playOpening(ctx context.Context) {
+// playOpening has all open watches fall silent, or all calls for longer than a list is used, and replicas that take
+// work begin to drain right behind that; nothing else happens meanwhile, so that a gateway has nothing but its own
+// calls to learn of it.
+func (s *soakRun) playOpening(ctx context.Context, silence func(*discoveryLink)) {
 	pause(ctx, openingWatch)
 	s.logEvent("open watches of all gateways fall silent")
 	for _, link := range s.links {
-		link.silence()
+		silence(link)
 	}
 	pause(ctx, openingChange)
 	var drained sync.WaitGroup
