One reset of a connection and one record of declined work; renewList for hearAsOf

discoveryfront.resetCall did what emulate.resetConnection does, and Replica.decline recorded an attempt as serveSilent does. Behaviour is unchanged.

--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -68,7 +68,7 @@
 	if list.Kind.Failed() {
 		switch list.Kind {
 		case ListUnreachable:
-			b.hearAsOf(now, list.AsOf)
+			b.renewList(now, list.AsOf)
 		case ListUnavailable:
 			b.unavailableAt = max(b.unavailableAt, min(now, cmp.Or(list.AsOf, now)))
 		}
@@ -79,7 +79,7 @@
 	}
 	if list.Kind.FromDiscovery() {
 		b.watching, b.pollBackoff, b.nextPollAt = true, 0, 0
-		b.hearAsOf(now, list.AsOf)
+		b.renewList(now, list.AsOf)
 	}
 	if list.Kind.Complete() {
 		b.markAbsentGone(list.Endpoints)
@@ -95,8 +95,8 @@
 	b.refreshEstimates(now)
 }
 
-// hearAsOf notes up to when changes of the list are known; 0: now.
-func (b *Balancer) hearAsOf(now, asOf Micros) {
+// renewList notes up to when changes of the list are known, which dates its lease; 0: now.
+func (b *Balancer) renewList(now, asOf Micros) {
 	b.lastHeardAt = max(b.lastHeardAt, min(now, cmp.Or(asOf, now)))
 }
 
--- a/internal/faulttest/discoveryfront.go
+++ b/internal/faulttest/discoveryfront.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"archknot/internal/fleet/emulate"
 )
 
 // frontMode is what a discovery front does with the calls of its gateway.
@@ -153,7 +155,7 @@
 func (f *discoveryFront) playFault(w http.ResponseWriter, r *http.Request, mode frontMode) {
 	switch mode {
 	case frontResets:
-		resetCall(w)
+		emulate.ResetConnection(w)
 	case frontMalformed:
 		_, _ = io.WriteString(w, `{"generation":1,"instances":[`)
 	case frontLateUnavailable:
@@ -201,15 +203,3 @@
 		f.written(list.Generation)
 	}
 }
-
-// resetCall resets the connection of a call.
-func resetCall(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // without it the connection is closed all the same
-	}
-	conn.Close()
-}
--- a/internal/fleet/emulate/replica.go
+++ b/internal/fleet/emulate/replica.go
@@ -256,19 +256,24 @@
 // decline answers work and health checks as a replica that declines while it drains.
 func (r *Replica) decline(w http.ResponseWriter, req *http.Request, isWork bool) {
 	if isWork && r.fleet.OnAttemptEnd != nil {
-		id := req.Header.Get(requestIDHeader)
-		now := time.Now()
-		r.fleet.OnAttemptEnd(ReplicaAttempt{ID: id, RootID: rootID(req.Header, id), Replica: r.Name, ReceivedAt: now, EndedAt: now, Declined: true})
+		attempt := r.declinedAttempt(req)
+		attempt.EndedAt = attempt.ReceivedAt
+		r.fleet.OnAttemptEnd(attempt)
 	}
 	w.Header().Set(declinedHeader, "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// declinedAttempt is the record of an attempt that comes now and gets no work done.
+func (r *Replica) declinedAttempt(req *http.Request) ReplicaAttempt {
+	id := req.Header.Get(requestIDHeader)
+	return ReplicaAttempt{ID: id, RootID: rootID(req.Header, id), Replica: r.Name, ReceivedAt: time.Now(), Declined: true}
+}
+
 // serveSilent accepts a request like a half-open connection does: it reads everything and answers nothing.
 func (r *Replica) serveSilent(w http.ResponseWriter, req *http.Request) {
 	if req.URL.Path == httpwire.CompletionsPath && r.fleet.OnAttemptEnd != nil {
-		id := req.Header.Get(requestIDHeader)
-		attempt := ReplicaAttempt{ID: id, RootID: rootID(req.Header, id), Replica: r.Name, ReceivedAt: time.Now(), Declined: true}
+		attempt := r.declinedAttempt(req)
 		defer func() {
 			attempt.EndedAt = time.Now()
 			r.fleet.OnAttemptEnd(attempt)
@@ -408,7 +413,7 @@
 		case replica.TokenMade:
 			faulty := event.OutputTokens >= faultyFromToken
 			if j.resetMidAnswer && faulty {
-				resetConnection(control)
+				ResetConnection(w)
 				return false
 			}
 			writeToken(w, event.OutputTokens, j.malformed && faulty)
@@ -422,9 +427,9 @@
 	}
 }
 
-// resetConnection closes the connection of a response with a TCP reset.
-func resetConnection(control *http.ResponseController) {
-	conn, _, err := control.Hijack()
+// ResetConnection closes the connection of a response with a TCP reset.
+func ResetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
