contractsim: open requests are settled in their order at a capture's gap

They were settled in the order of a map. No failing test: they are settled at the estimates that they were charged at, so no figure was seen to change; the order is a matter of equal output for equal input.

--- a/internal/contractsim/simulate.go
+++ b/internal/contractsim/simulate.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"errors"
 	"io"
+	"maps"
 	"slices"
 
 	"archknot/balancer"
@@ -158,9 +159,11 @@
 // abandonOpenRequests settles all open requests at their estimates, at a gap of the
 // recording: how they ended is unknown.
 func (s *simulation) abandonOpenRequests() {
-	for id, request := range s.openRequests {
+	for _, id := range slices.Sorted(maps.Keys(s.openRequests)) { // the same results for the same capture
+		request := s.openRequests[id]
 		s.ledger.Settle(0, &request.initialCharge, request.initialCharge.Estimate, false)
-		for _, charge := range request.charges {
+		for _, attempt := range slices.Sorted(maps.Keys(request.charges)) {
+			charge := request.charges[attempt]
 			s.ledger.Settle(0, charge, charge.Estimate, false)
 		}
 		delete(s.openRequests, id)
