--- a/internal/faulttest/soak.go
+++ b/internal/faulttest/soak.go
@@ -162,7 +162,7 @@
 
 const pushedEvery = 4
 
-// openingEvery is how many seeds have one of each opening that playOpening has.
+// openingEvery is how many seeds have one of each opening that playOpening has; the longer one is for polled lists.
 const openingEvery = 3
 
 // drawSettings sets what a seed decides about the deployment.
@@ -212,10 +212,10 @@
 	defer endTraffic()
 	var traffic, events sync.WaitGroup
 	s.startTraffic(trafficCtx, &traffic)
-	switch s.spec.Seed % openingEvery {
-	case 1:
+	switch opening := s.spec.Seed % openingEvery; {
+	case opening == 1:
 		s.playOpening(ctx, (*discoveryLink).silence)
-	case 2:
+	case opening == 2 && !s.intervals.pushed: // an agent that answers no call has learnt nothing either
 		s.playOpening(ctx, func(link *discoveryLink) { link.silenceFor(openingSilence) })
 	}
 	eventCtx, endEvents := context.WithTimeout(ctx, time.Duration(s.spec.Duration)*time.Microsecond)
