--- a/internal/xdsclient/rollback_test.go
+++ b/internal/xdsclient/rollback_test.go
@@ -154,8 +154,9 @@
 	}
 }
 
-// Guards against: a version that was rolled back is in force again after a clean stop within the rollback.
-func TestRollbackOutlivesAStop(t *testing.T) {
+// atEachRollbackPoint runs a test for ordered and automatic rollbacks, and for each point that they have.
+func atEachRollbackPoint(t *testing.T, run func(t *testing.T, automatic bool, point rollbackPoint)) {
+	t.Helper()
 	for _, automatic := range []bool{false, true} {
 		for _, point := range []rollbackPoint{pointApplyBegins, pointApplyEnds, pointLogged, pointConfirmed} {
 			if automatic && point == pointConfirmed {
@@ -163,50 +164,58 @@
 			}
 			t.Run(fmt.Sprintf("automatic=%t/%s", automatic, point), func(t *testing.T) {
 				t.Parallel()
-				s := startService(t)
-				path := filepath.Join(t.TempDir(), "store")
-				ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
-				ended := make(chan struct{})
-				reached := make(chan struct{})
-				reachedOnce := sync.OnceFunc(func() { close(reached) })
-				run, err := newRollbackRun(s.Addr(), path, s.Publish, func(at rollbackPoint) {
-					if at != point {
-						return
-					}
-					stop()
-					reachedOnce()
-					if at != pointLogged { // logged by the goroutine that is to end
-						<-ended
-					}
-				})
-				if err != nil {
-					t.Fatal(err)
-				}
-				go func() {
-					run.client.Run(ctx)
-					close(ended)
-				}()
-				err = run.rollBack(ctx, automatic)
-				if point == pointConfirmed {
-					if err != nil {
-						t.Fatal(err)
-					}
-					stop()
-					reachedOnce()
-				}
-				select {
-				case <-reached:
-				case <-time.After(10 * time.Second):
-					t.Fatal("the point was not reached")
-				}
-				<-ended
-				run.store.Close()
-				expectRolledBack(t, s, path)
+				run(t, automatic, point)
 			})
 		}
 	}
 }
 
+// Guards against: a version that was rolled back is in force again after a clean stop within the rollback.
+func TestRollbackOutlivesAStop(t *testing.T) {
+	atEachRollbackPoint(t, func(t *testing.T, automatic bool, point rollbackPoint) {
+		t.Helper()
+		s := startService(t)
+		path := filepath.Join(t.TempDir(), "store")
+		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+		ended := make(chan struct{})
+		reached := make(chan struct{})
+		reachedOnce := sync.OnceFunc(func() { close(reached) })
+		run, err := newRollbackRun(s.Addr(), path, s.Publish, func(at rollbackPoint) {
+			if at != point {
+				return
+			}
+			stop()
+			reachedOnce()
+			if at != pointLogged { // logged by the goroutine that is to end
+				<-ended
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			run.client.Run(ctx)
+			close(ended)
+		}()
+		err = run.rollBack(ctx, automatic)
+		if point == pointConfirmed {
+			if err != nil {
+				t.Fatal(err)
+			}
+			stop()
+			reachedOnce()
+		}
+		select {
+		case <-reached:
+		case <-time.After(10 * time.Second):
+			t.Fatal("the point was not reached")
+		}
+		<-ended
+		run.store.Close()
+		expectRolledBack(t, s, path)
+	})
+}
+
 // Environment variables of the process that TestRollbackOutlivesSIGKILL kills.
 const (
 	rollbackStoreEnv     = "ARCHKNOT_TEST_ROLLBACK_STORE"
@@ -241,20 +250,13 @@
 
 // Guards against: a version that was rolled back is in force again after SIGKILL within the rollback.
 func TestRollbackOutlivesSIGKILL(t *testing.T) {
-	for _, automatic := range []bool{false, true} {
-		for _, point := range []rollbackPoint{pointApplyBegins, pointApplyEnds, pointLogged, pointConfirmed} {
-			if automatic && point == pointConfirmed {
-				continue // nobody waits for an answer
-			}
-			t.Run(fmt.Sprintf("automatic=%t/%s", automatic, point), func(t *testing.T) {
-				t.Parallel()
-				s := startService(t)
-				path := filepath.Join(t.TempDir(), "store")
-				killRollback(t, s, path, automatic, point)
-				expectRolledBack(t, s, path)
-			})
-		}
-	}
+	atEachRollbackPoint(t, func(t *testing.T, automatic bool, point rollbackPoint) {
+		t.Helper()
+		s := startService(t)
+		path := filepath.Join(t.TempDir(), "store")
+		killRollback(t, s, path, automatic, point)
+		expectRolledBack(t, s, path)
+	})
 }
 
 // killRollback runs a process that is killed at a point of a rollback, and publishes the versions that it orders.
