gateway: a drain accepts what waits in the accept queue before it closes the listener

Callers saw: a request on a new connection, sent up to 0.4 s before, reset with no answer 0.5 s behind SIGTERM, where the process was slow to accept (limit of connections reached, want of descriptors, a busy machine). Cause: Drain closed the listener over its accept queue. Those connections are established and their requests written; the system resets them at the close. Nor did the close come at once: Go closes the socket when the accepting goroutine has run. Forced by a test: TestDrainAnswersConnectionsInTheAcceptQueue failed before with 'connection reset by peer', TestDrainGivesUpAnAcceptQueueInTime with a close after 10 ms; TestDrainLeavesASharedAcceptQueue held before and holds. Why it works: sockets.CloseWhenEmpty looks by poll(2) whether a connection waits, each millisecond, and where none does ends the listening in the same breath, by shutdown(2). It waits until 0.3 s before the earliest kill. What is left: the time between the two system calls. A shared socket is closed as before: its queue is the successor's. syncpoint.Listener can hold an Accept; its connections are as before. New log line: listener_closed.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"archknot/balancer"
 	"archknot/internal/httpwire"
+	"archknot/internal/sockets"
 )
 
 // A gateway that operators drain ends its client connections and goes on running; one that is
@@ -26,6 +28,12 @@
 	partialRequestGrace balancer.Micros = 3_300_000
 	// drainCheckInterval is how often connections are checked in a drain.
 	drainCheckInterval = 50 * time.Millisecond
+	// The platform kills the process at the earliest killDelay and the longest deadline after
+	// SIGTERM, where deadlines over maxKillDeadline count as that.
+	killDelay       balancer.Micros = 700_000
+	maxKillDeadline balancer.Micros = 3_000_000
+	// lastAnswerTime before the kill no connection is accepted any more.
+	lastAnswerTime balancer.Micros = 300_000
 )
 
 // draining reports whether connections end as soon as they are idle.
@@ -55,6 +63,30 @@
 	return true
 }
 
+// closeListener gives the listener up. Connections in its accept queue are accepted first, as long
+// as a request on them can be answered before the process is killed. On a shared listener they
+// are the other process's.
+func (g *Gateway) closeListener(ctx context.Context) {
+	if g.options.SharedListener {
+		_ = g.listener.Close() // it is given up either way
+		return
+	}
+	begun := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, g.clients.clock.timeAt(g.lastAcceptAt()))
+	defer cancel()
+	empty, _ := sockets.CloseWhenEmpty(ctx, g.listener) // it is given up either way
+	slog.Info("listener_closed", "queue_empty", empty, "waited_ms", time.Since(begun).Milliseconds())
+}
+
+// lastAcceptAt returns until when a shutdown may accept connections.
+func (g *Gateway) lastAcceptAt() balancer.Micros {
+	longest := balancer.Micros(0)
+	for _, class := range g.config.Load().classes {
+		longest = max(longest, class.Deadline)
+	}
+	return g.clients.shutdownAt.Load() + min(longest, maxKillDeadline) + killDelay - lastAnswerTime
+}
+
 // closeIdle ends the connections on which a request was answered and none is arriving.
 func (t *clientTracker) closeIdle() {
 	for _, conn := range t.connections() {
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -248,3 +248,101 @@
 		})
 	}
 }
+
+// Guards against: a listener that is closed over connections in its accept queue. The system resets
+// them, with the requests that have arrived on them.
+func TestDrainAnswersConnectionsInTheAcceptQueue(t *testing.T) {
+	const acceptPeriod = 10 * time.Millisecond
+	w := newFakeReplica(t, "s-1", answerCompletely)
+	g, l := startGatewayHeld(t, func(o *Options) { o.DrainAcceptPeriod = acceptPeriod }, w)
+	beforeAccept := syncpoint.NewPoint(t)
+	l.StopBeforeAccept(beforeAccept)
+	dial(t, g.addr) // ends the accept that has begun
+	beforeAccept.WaitReached(t)
+	var waiting []*testClient
+	for i := range 3 {
+		client := dial(t, g.addr)
+		client.sendRequest(fmt.Sprint("q", i), "4000m")
+		waiting = append(waiting, client)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- g.Drain(context.Background()) }()
+	time.Sleep(10 * acceptPeriod) // the listener would have been closed long ago
+	beforeAccept.Release()
+	for _, client := range waiting {
+		if resp, _ := client.readAnswer(); resp.StatusCode != http.StatusOK || !resp.Close {
+			t.Errorf("status %d, close %t", resp.StatusCode, resp.Close)
+		}
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+	if err := <-g.served; err != nil {
+		t.Error(err)
+	}
+	if conn, err := net.Dial("tcp", g.addr); err == nil {
+		conn.Close()
+		t.Error("the drained gateway accepts connections")
+	}
+}
+
+// An accept queue that does not become empty is waited for as long as answers are possible before
+// the kill, and no longer.
+func TestDrainGivesUpAnAcceptQueueInTime(t *testing.T) {
+	const longestDeadline = 200_000 // microseconds
+	g, l := startGatewayHeld(t, func(o *Options) {
+		o.DrainAcceptPeriod = 10 * time.Millisecond
+		o.Settings.Classes[0].Deadline = longestDeadline
+	}, newFakeReplica(t, "s-1", answerCompletely))
+	beforeAccept := syncpoint.NewPoint(t)
+	l.StopBeforeAccept(beforeAccept)
+	dial(t, g.addr)
+	beforeAccept.WaitReached(t)
+	waiting := dial(t, g.addr)
+	begun := time.Now()
+	go g.Drain(t.Context())
+	if _, err := waiting.reader.ReadByte(); err == nil {
+		t.Error("a connection that nobody accepted was answered")
+	}
+	kill := (longestDeadline + killDelay) * int64(time.Microsecond)
+	if took := time.Since(begun); took > time.Duration(kill) || took < time.Duration(kill)/2 {
+		t.Errorf("the listener was closed after %v, the process may be killed after %v", took, time.Duration(kill))
+	}
+}
+
+// On a shared listening socket the connections that wait are the other process's: a drain neither
+// waits for them nor has the socket refuse others.
+func TestDrainLeavesASharedAcceptQueue(t *testing.T) {
+	g, l := startGatewayHeld(t, func(o *Options) {
+		o.DrainAcceptPeriod = 10 * time.Millisecond
+		o.SharedListener = true
+	}, newFakeReplica(t, "s-1", answerCompletely))
+	file, err := l.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	successor, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer successor.Close()
+	beforeAccept := syncpoint.NewPoint(t)
+	l.StopBeforeAccept(beforeAccept)
+	first := dial(t, g.addr)
+	beforeAccept.WaitReached(t)
+	first.Close()
+	dial(t, g.addr) // waits
+	go g.Drain(t.Context())
+	waitUntil(t, "the listener's close", func() bool {
+		return l.SetDeadline(time.Time{}) != nil
+	})
+	for _, when := range []string{"waited", "came behind the close"} {
+		conn, err := successor.Accept()
+		if err != nil {
+			t.Fatalf("the connection that %s: %v", when, err)
+		}
+		conn.Close()
+		dial(t, g.addr)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -129,7 +128,7 @@
 	}
 	err := g.server.Serve(g.clients.wrapListener(sockets.NewRetryListener(l)))
 	close(g.acceptDone)
-	if g.clients.shutdownAt.Load() > 0 && errors.Is(err, net.ErrClosed) {
+	if g.clients.shutdownAt.Load() > 0 && sockets.IsClosed(err) {
 		return nil
 	}
 	return err
@@ -155,8 +154,8 @@
 	g.clients.beginShutdown()
 	<-g.listening
 	wait(ctx, g.options.DrainAcceptPeriod)
-	_ = g.listener.Close() // the listener is given up either way
-	<-g.acceptDone         // the connections that it accepted are tracked now
+	g.closeListener(ctx)
+	<-g.acceptDone // the connections that it accepted are tracked now
 	go g.handOverRequests(ctx)
 	wait(ctx, g.options.DrainAcceptPeriod/unusedConnFraction)
 	g.clients.closeUnused(0)
--- a/internal/sockets/listener.go
+++ b/internal/sockets/listener.go
@@ -36,7 +36,7 @@
 func (l *retryListener) Accept() (net.Conn, error) {
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		conn, err := l.Listener.Accept()
-		if err == nil || isClosed(err) {
+		if err == nil || IsClosed(err) {
 			return conn, err
 		}
 		acceptFailures.Add(1)
@@ -45,8 +45,8 @@
 	}
 }
 
-// isClosed reports whether an accept failed because its listener is closed.
-func isClosed(err error) bool {
+// IsClosed reports whether an accept failed because its listener is closed.
+func IsClosed(err error) bool {
 	return errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EBADF) || errors.Is(err, syscall.EINVAL)
 }
 
--- a/internal/syncpoint/syncpoint.go
+++ b/internal/syncpoint/syncpoint.go
@@ -4,7 +4,6 @@
 package syncpoint
 
 import (
-	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -54,32 +53,35 @@
 // Release unblocks the callers of Stop. It may be called several times.
 func (p *Point) Release() { p.releaseOnce.Do(func() { close(p.released) }) }
 
-// Listener wraps the connections that it accepts.
+// Listener wraps the connections that it accepts. Its Accept can be blocked.
 type Listener struct {
-	net.Listener
-	accepted chan *Conn
+	*net.TCPListener
+	accepted     chan *Conn
+	beforeAccept atomic.Pointer[Point]
 }
 
 // NewListener listens on a free port of the loopback address.
 func NewListener(t *testing.T) *Listener {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &Listener{l, make(chan *Conn, 256)}
+	return &Listener{TCPListener: l, accepted: make(chan *Conn, 256)}
 }
 
+// StopBeforeAccept makes the next Accept stop at the point: connections wait in the accept queue.
+func (l *Listener) StopBeforeAccept(p *Point) { l.beforeAccept.Store(p) }
+
 // Accept returns the next connection as a *Conn, which NextConn returns too.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	if p := l.beforeAccept.Load(); p != nil {
+		p.Stop()
+	}
+	tcp, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return nil, fmt.Errorf("accepted a %T, not a TCP connection", conn)
-	}
 	wrapped := &Conn{TCPConn: tcp}
 	l.accepted <- wrapped
 	return wrapped, nil
