adminapi: calls that have arrived are answered before the process ends

Callers saw: an operator's call that crossed the end of a shutdown (0.5 s to 3 s behind SIGTERM, a readiness query or an order) got a reset in place of an answer, though the order could have taken effect. Cause: Server.Close closed the listener over its accept queue and every connection at once, those with a call under way too. Evidence: TestCloseAnswersCallsThatHaveArrived, status 0 for both calls before. Why it works: the listener is closed when no connection waits; then calls under way are waited for until their connections have ended, and connections of the last 100 ms, on which a call may arrive; 0.85 s at most. Silent callers are not waited for, so a shutdown without calls takes no longer. A connection counts as answering until it has ended, not until its handler has returned, which is before the answer is written. gateway: listener_closed is logged for a shared listener, too.

--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -23,6 +23,8 @@
 	callTimeout = 2 * time.Second
 	// answerTimeout bounds how long a call waits for the gateway: operators expect an answer within a second.
 	answerTimeout = 750 * time.Millisecond
+	// closeTimeout bounds how long Close waits for answers.
+	closeTimeout = answerTimeout + 100*time.Millisecond
 	// maxBodyBytes bounds a request's body, which is read and ignored.
 	maxBodyBytes   = 16 << 10
 	maxHeaderBytes = 8 << 10
@@ -67,12 +69,16 @@
 	limiter   *connLimiter
 	closed    chan struct{}
 	closeOnce sync.Once
+
+	mu         sync.Mutex
+	listener   net.Listener  // nil: the address is not bound
+	acceptDone chan struct{} // closed once the listener accepts no connection any more
 }
 
 // Listen begins to serve an address, and counts the calls in counts. If the address cannot be bound at
 // the moment, that is logged and retried in the background: the gateway serves its clients meanwhile.
 func Listen(addr string, gateway Gateway, counts *CallCounts) *Server {
-	s := &Server{gateway: gateway, counts: counts, closed: make(chan struct{}), limiter: newConnLimiter()}
+	s := &Server{gateway: gateway, counts: counts, closed: make(chan struct{}), limiter: newConnLimiter(), acceptDone: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(s.handle),
 		ReadTimeout:    callTimeout,
@@ -112,15 +118,30 @@
 
 // serveListener serves a listener until the server is closed.
 func (s *Server) serveListener(listener net.Listener) {
+	s.mu.Lock()
+	s.listener = listener
+	s.mu.Unlock()
 	err := s.http.Serve(s.limiter.wrap(sockets.NewRetryListener(listener)))
-	if !errors.Is(err, http.ErrServerClosed) {
+	close(s.acceptDone)
+	if !errors.Is(err, http.ErrServerClosed) && !sockets.IsClosed(err) {
 		slog.Error("admin_listener", "err", err)
 	}
 }
 
-// Close ends the server and its connections at once. It may be called more than once.
+// Close ends the server. Calls that have arrived are answered first, within closeTimeout; connections that
+// have sent no complete call are closed. It may be called more than once.
 func (s *Server) Close() {
 	s.closeOnce.Do(func() { close(s.closed) })
+	s.mu.Lock()
+	listener := s.listener
+	s.mu.Unlock()
+	if listener != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		_, _ = sockets.CloseWhenEmpty(ctx, listener) // it is given up either way
+		<-s.acceptDone
+		s.limiter.awaitAnswers(ctx)
+	}
 	s.http.Close()
 }
 
@@ -132,7 +153,7 @@
 	if status == 0 && !discardBody(w, r) {
 		status = http.StatusBadRequest
 	}
-	defer s.limiter.startAnswer(connectionOf(r.Context()))()
+	s.limiter.startAnswer(connectionOf(r.Context()))
 	var err error
 	if status == 0 {
 		err = s.execute(r.Context(), c)
--- a/internal/adminapi/server_test.go
+++ b/internal/adminapi/server_test.go
@@ -56,6 +56,12 @@
 }
 
 func startServer(t *testing.T, g *fakeGateway) (addr string, counts *CallCounts) {
+	t.Helper()
+	_, addr, counts = startClosableServer(t, g)
+	return addr, counts
+}
+
+func startClosableServer(t *testing.T, g *fakeGateway) (s *Server, addr string, counts *CallCounts) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,9 +70,9 @@
 	addr = l.Addr().String()
 	l.Close()
 	counts = &CallCounts{}
-	s := Listen(addr, g, counts)
+	s = Listen(addr, g, counts)
 	t.Cleanup(s.Close)
-	return addr, counts
+	return s, addr, counts
 }
 
 // exchange sends a text on a connection of its own and returns the response's status and how long it took.
@@ -234,3 +240,54 @@
 		t.Errorf("status %d", status)
 	}
 }
+
+// Guards against: a close over calls that have arrived, whose callers are owed an answer. Silent callers do
+// not hold the close up.
+func TestCloseAnswersCallsThatHaveArrived(t *testing.T) {
+	g := &fakeGateway{release: make(chan struct{})}
+	s, addr, _ := startClosableServer(t, g)
+	silent, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	statuses := make(chan int, 2)
+	for _, path := range []string{"/-/drain", "/-/replicas/s-1/disable"} {
+		go func() {
+			status, _ := exchange(t, addr, requestText("PUT", path))
+			statuses <- status
+		}()
+	}
+	answering := func() int {
+		s.limiter.mu.Lock()
+		defer s.limiter.mu.Unlock()
+		return len(s.limiter.answering)
+	}
+	for begun := time.Now(); answering() < cap(statuses); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 5*time.Second {
+			t.Fatal("the calls did not arrive")
+		}
+	}
+	time.Sleep(firstCallGrace) // now the silent one is known as silent
+	closed := make(chan struct{})
+	go func() {
+		s.Close()
+		close(closed)
+	}()
+	time.Sleep(50 * time.Millisecond) // the connections would have been closed
+	begun := time.Now()
+	close(g.release)
+	for range cap(statuses) {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("a call that had arrived: status %d", status)
+		}
+	}
+	<-closed
+	if took := time.Since(begun); took > firstCallGrace {
+		t.Errorf("the close took %v behind the last answer", took)
+	}
+	if conn, err := net.Dial("tcp", addr); err == nil {
+		conn.Close()
+		t.Error("the closed server accepts connections")
+	}
+}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -69,13 +69,14 @@
 func (g *Gateway) closeListener(ctx context.Context) {
 	if g.options.SharedListener {
 		_ = g.listener.Close() // it is given up either way
+		slog.Info("listener_closed", "shared", true)
 		return
 	}
 	begun := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, g.clients.clock.timeAt(g.lastAcceptAt()))
 	defer cancel()
 	empty, _ := sockets.CloseWhenEmpty(ctx, g.listener) // it is given up either way
-	slog.Info("listener_closed", "queue_empty", empty, "waited_ms", time.Since(begun).Milliseconds())
+	slog.Info("listener_closed", "shared", false, "queue_empty", empty, "waited_ms", time.Since(begun).Milliseconds())
 }
 
 // lastAcceptAt returns until when a shutdown may accept connections.
