soak: a kill is dated by its signal, not by when the process's end was seen

Why the check was wrong: a request was excused from 0.3 s before the time at which the soak itself came to record the end. On a busy machine that is any time behind the kill. The process's end comes from its own wait now, the kill from when it was sent, and that it killed from the wait status. As strict and stricter: what was closed up to 0.3 s before a kill was excused and is a break now; so is a request that was sent over 0.7 s after SIGTERM, forwarded, cut by the kill and sent again. The events that end a process have a file of their own.

--- a/internal/faulttest/cluster.go
+++ b/internal/faulttest/cluster.go
@@ -11,6 +11,8 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -162,6 +164,22 @@
 	return filepath.Join(c.dir, n.name+"."+extension)
 }
 
+// logTimes returns when a gateway's processes logged an event.
+func (c *cluster) logTimes(n *node, event string) (times []time.Time) {
+	text, _ := os.ReadFile(c.path(n, "log")) // without a log there are no times
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		if !slices.Contains(fields, "msg="+event) {
+			continue
+		}
+		value, _ := strings.CutPrefix(fields[0], "time=")
+		if at, err := time.Parse(time.RFC3339Nano, value); err == nil {
+			times = append(times, at)
+		}
+	}
+	return times
+}
+
 // logTail returns the end of a gateway's log.
 func (c *cluster) logTail(n *node) string {
 	text, _ := os.ReadFile(c.path(n, "log")) // without a log there is nothing to quote
--- a/internal/faulttest/node.go
+++ b/internal/faulttest/node.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // node is a gateway, over all its processes.
@@ -33,6 +34,14 @@
 	adminAddr   string // the operators' address; empty: none
 	exited      chan struct{}
 	endExpected bool
+	killSentAt  time.Time // when SIGKILL was sent first; zero: never
+	end         processEnd
+}
+
+// processEnd is how a process has ended. It is set before exited is closed.
+type processEnd struct {
+	at     time.Time // when the wait for the process returned
+	killed bool      // SIGKILL has ended it
 }
 
 // openListenSocket opens the clients' listening socket that a gateway's processes share.
@@ -108,6 +117,9 @@
 // awaitExit waits for the end of a process, and records it as a crash if it was not expected.
 func (c *cluster) awaitExit(n *node, process *gatewayProcess, log *os.File) {
 	err := process.cmd.Wait()
+	process.end.at = time.Now()
+	status, ok := process.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	process.end.killed = ok && status.Signaled() && status.Signal() == syscall.SIGKILL
 	log.Close()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -134,6 +146,20 @@
 	return n.process.signal(s)
 }
 
+// currentProcess returns the gateway's process, nil if none runs.
+func (n *node) currentProcess() *gatewayProcess {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.process
+}
+
+// signalProcess sends a signal to one of the gateway's processes, also one that has a successor.
+func (n *node) signalProcess(process *gatewayProcess, s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	process.signal(s)
+}
+
 // exited returns a channel that is closed once the gateway's process has ended.
 func (n *node) exited() <-chan struct{} {
 	n.mu.Lock()
@@ -184,6 +210,9 @@
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		p.endExpected = true
 	}
+	if s == syscall.SIGKILL && p.killSentAt.IsZero() {
+		p.killSentAt = time.Now()
+	}
 	_ = p.cmd.Process.Signal(s) // fails only if the process has ended
 	return p.exited
 }
--- a/internal/faulttest/soak.go
+++ b/internal/faulttest/soak.go
@@ -101,7 +101,7 @@
 	shutdowns []shutdownInterval
 	pushed    bool // lists are pushed to the gateways
 
-	deadline time.Duration // the longest, as it counts for a shutdown
+	listenerCloses [][]time.Time // by gateway, as its processes logged them
 }
 
 type interval struct{ from, to time.Time }
@@ -116,7 +116,8 @@
 // shutdownInterval is the end of a gateway's process, from its first signal to its exit.
 type shutdownInterval struct {
 	gateway  int
-	graceful bool // the first signal was SIGTERM
+	graceful bool      // the first signal was SIGTERM
+	killedAt time.Time // when the SIGKILL that ended it was sent; zero: it ended by itself
 	interval
 }
 
@@ -288,7 +289,9 @@
 func (s *soakRun) result(duration time.Duration) *SoakResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.intervals.deadline = s.deadline
+	for _, n := range s.cluster.nodes {
+		s.intervals.listenerCloses = append(s.intervals.listenerCloses, s.cluster.logTimes(n, "listener_closed"))
+	}
 	for _, link := range s.links {
 		s.intervals.links = append(s.intervals.links, link.history())
 	}
--- a/internal/faulttest/soakaudit.go
+++ b/internal/faulttest/soakaudit.go
@@ -1,7 +1,7 @@
 package faulttest
 
 import (
-	"fmt"
+	"slices"
 	"time"
 
 	"archknot/internal/fleet/emulate"
@@ -52,7 +52,7 @@
 func (a *soakAuditor) withoutClientRetries(violations []Violation) (remaining []Violation) {
 	for _, violation := range violations {
 		request := a.requests[violation.RequestID]
-		if request == nil || request.resentAt.IsZero() || !a.killed(request.gateway, request.resentAt) {
+		if request == nil || request.resentAt.IsZero() || !a.killedUnder(request.gateway, request.firstStartedAt, request.resentAt) {
 			remaining = append(remaining, violation)
 		}
 	}
@@ -158,12 +158,13 @@
 	case outcomeClosed, outcomeTimedOut:
 		neverSent := request.outcome == outcomeClosed && request.sentAt.IsZero()
 		if !neverSent && !a.excused(request) {
-			violations = append(violations, violationOf(ruleLost, request, "got no answer (%s) %v after it was sent", request.outcome, request.endedAt.Sub(request.sentAt)))
+			violations = append(violations, violationOf(ruleLost, request, "got no answer (%s) %v after it was sent%s",
+				request.outcome, request.endedAt.Sub(request.sentAt), a.describeEnd(request)))
 		}
 	case outcomeBroken:
 		for _, attempt := range a.attempts[request.id] {
 			if attempt.Complete && !a.excused(request) {
-				violations = append(violations, violationOf(ruleLost, request, "was cut off, though %s had answered to the end", attempt.Replica))
+				violations = append(violations, violationOf(ruleLost, request, "was cut off, though %s had answered to the end%s", attempt.Replica, a.describeEnd(request)))
 			}
 		}
 	}
@@ -172,50 +173,47 @@
 
 // auditResend audits whether a request that its client sent again had been forwarded before.
 func (a *soakAuditor) auditResend(request *soakRequest) (violations []Violation) {
-	if request.resentAt.IsZero() || a.killed(request.gateway, request.resentAt) {
+	if request.resentAt.IsZero() || a.excusedFirst(request) {
 		return nil
 	}
 	for _, attempt := range a.attempts[request.id] {
 		if attempt.ReceivedAt.Before(request.resentAt) {
-			violations = append(violations, violationOf(ruleLost, request, "was forwarded to %s, and its connection closed without an answer", attempt.Replica))
+			violations = append(violations, violationOf(ruleLost, request, "was forwarded to %s, and its connection closed without an answer%s", attempt.Replica, a.describeEnd(request)))
 		}
 	}
 	return violations
 }
 
-// wasKilled reports whether a process ended by SIGKILL.
-func (a *soakAuditor) wasKilled(shutdown shutdownInterval) bool {
-	return !shutdown.graceful || shutdown.to.Sub(shutdown.from) >= a.deadline+killDelay
+// killedUnder reports whether a gateway's process was killed while it had a request: the request's client
+// began before the process ended, and saw the connection's end once the kill had been sent.
+func (a *soakAuditor) killedUnder(gateway int, startedAt, closedAt time.Time) bool {
+	return slices.ContainsFunc(a.shutdowns, func(shutdown shutdownInterval) bool {
+		return shutdown.gateway == gateway && shutdown.killsUnder(startedAt, closedAt)
+	})
 }
 
-// killed reports whether a gateway's process was killed at about a time.
-func (a *soakAuditor) killed(gateway int, at time.Time) bool {
-	for _, shutdown := range a.shutdowns {
-		near := at.After(shutdown.from.Add(-auditTolerance)) && at.Before(shutdown.to.Add(auditTolerance))
-		if near && shutdown.gateway == gateway && a.wasKilled(shutdown) {
-			return true
-		}
-	}
-	return false
+// killsUnder reports whether the process was killed between a request's begin and the end of its connection.
+func (s shutdownInterval) killsUnder(startedAt, closedAt time.Time) bool {
+	return !s.killedAt.IsZero() && !startedAt.After(s.to) && closedAt.After(s.killedAt)
+}
+
+// excuses reports whether the process was killed while it had a request that was sent at a time. After
+// SIGTERM that excuses only requests that arrived soon.
+func (s shutdownInterval) excuses(startedAt, sentAt, closedAt time.Time) bool {
+	accepted := !s.graceful || sentAt.Before(s.from.Add(shutdownAcceptTime))
+	return accepted && s.killsUnder(startedAt, closedAt)
 }
 
-// excused reports whether the gateway's process was killed while it had the request. After SIGTERM that
-// excuses only requests that arrived soon.
+// excused reports whether a kill excuses the end of a request's connection.
 func (a *soakAuditor) excused(request *soakRequest) bool {
-	for _, shutdown := range a.shutdowns {
-		if shutdown.gateway != request.gateway || request.startedAt.After(shutdown.to) || request.endedAt.Before(shutdown.from.Add(-auditTolerance)) {
-			continue
-		}
-		accepted := !shutdown.graceful || request.sentAt.Before(shutdown.from.Add(shutdownAcceptTime))
-		if accepted && a.wasKilled(shutdown) && request.endedAt.After(shutdown.to.Add(-auditTolerance-maxFreeze)) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(a.shutdowns, func(shutdown shutdownInterval) bool {
+		return shutdown.gateway == request.gateway && shutdown.excuses(request.startedAt, request.sentAt, request.endedAt)
+	})
 }
 
-// violationOf returns a violation by a request.
-func violationOf(rule string, request *soakRequest, format string, args ...any) Violation {
-	details := fmt.Sprintf("%s request to g%d ", request.class, request.gateway+1) + fmt.Sprintf(format, args...)
-	return Violation{Rule: rule, RequestID: request.id, Details: details}
+// excusedFirst is excused for the first connection of a request that was sent again.
+func (a *soakAuditor) excusedFirst(request *soakRequest) bool {
+	return slices.ContainsFunc(a.shutdowns, func(shutdown shutdownInterval) bool {
+		return shutdown.gateway == request.gateway && shutdown.excuses(request.firstStartedAt, request.firstSentAt, request.resentAt)
+	})
 }
--- a/internal/faulttest/soakclient.go
+++ b/internal/faulttest/soakclient.go
@@ -43,6 +43,11 @@
 	endedAt   time.Time
 	outcome   string
 	resentAt  time.Time // when it was sent again because its reused connection was closed; zero: never
+
+	firstStartedAt time.Time // startedAt and sentAt, of the first time that it was sent
+	firstSentAt    time.Time
+	reusedConn     bool  // the connection was a reused one
+	err            error // of its connection; nil: none
 }
 
 // soakClients sends requests to gateways as clients behind a load balancer do, and records their outcomes.
@@ -144,14 +149,17 @@
 	rng := rand.New(rand.NewPCG(s.seed, uint64(index)+clientStream))
 	for ctx.Err() == nil {
 		stream := &s.spec.Streams[rng.IntN(len(s.spec.Streams))]
-		s.sendRequest(rng, stream, s.chooseGateway(rng))
+		s.sendRequest(rng, stream, s.chooseGateway(rng), s.takeIdleConn)
 		pause(ctx, time.Duration(rng.ExpFloat64()*float64(meanThinkTime)))
 	}
 }
 
+// connSource returns an open connection to a gateway; nil: a new one is to be opened.
+type connSource func(gateway int) *soakConn
+
 // sendRequest sends one request and waits for its end. It is sent again once if a reused connection was
 // closed without a response.
-func (s *soakClients) sendRequest(rng *rand.Rand, stream *model.Stream, gateway int) {
+func (s *soakClients) sendRequest(rng *rand.Rand, stream *model.Stream, gateway int, openConn connSource) (outcome string) {
 	class := s.spec.ClassOf(stream)
 	t := s.newRequest(stream, class, gateway)
 	text := s.requestText(rng, t, stream, class)
@@ -160,21 +168,22 @@
 		cancelAfter = time.Duration(rng.ExpFloat64() * float64(meanCancelTime))
 	}
 	inPieces := rng.Float64() < slowWriteShare
-	t.startedAt = time.Now()
-	c := s.takeIdleConn(gateway)
+	t.firstStartedAt = time.Now()
+	t.startedAt = t.firstStartedAt
+	c := openConn(gateway)
 	for {
 		if c == nil {
 			conn, err := net.DialTimeout("tcp", s.nodes[gateway].addr, time.Second)
 			if err != nil {
 				t.endedAt, t.outcome = time.Now(), outcomeUnsent
-				return
+				return outcomeUnsent
 			}
 			c = &soakConn{Conn: conn, reader: bufio.NewReader(conn)}
 		}
 		outcome, mayResend := s.exchange(t, c, text, inPieces, cancelAfter)
 		if !mayResend || !t.resentAt.IsZero() {
 			t.outcome = outcome
-			return
+			return outcome
 		}
 		c.Close()
 		c = nil
@@ -205,10 +214,15 @@
 // exchange sends a request on a connection and reads its response. mayResend says that a reused connection
 // was closed without a response, so that the request may be sent again.
 func (s *soakClients) exchange(t *soakRequest, c *soakConn, text string, inPieces bool, cancelAfter time.Duration) (outcome string, mayResend bool) {
+	t.reusedConn = c.reused
 	if err := writeRequest(c, text, inPieces); err != nil {
+		t.err = err
 		return s.finish(t, c, outcomeClosed, false), c.reused
 	}
 	t.sentAt = time.Now()
+	if t.resentAt.IsZero() {
+		t.firstSentAt = t.sentAt
+	}
 	s.setInFlight(t, true)
 	defer s.setInFlight(t, false)
 	if cancelAfter > 0 {
@@ -228,6 +242,7 @@
 		_ = c.SetReadDeadline(time.Now().Add(streamTimeout))
 	}
 	if err := readBody(resp); err != nil {
+		t.err = err
 		if cancelAfter > 0 && isTimeout(err) {
 			return s.finish(t, c, outcomeCanceled, false), false
 		}
@@ -253,6 +268,7 @@
 
 // finishUnanswered records the outcome of a request without a response.
 func (s *soakClients) finishUnanswered(t *soakRequest, c *soakConn, err error, cancels bool) (outcome string, mayResend bool) {
+	t.err = err
 	switch {
 	case isTimeout(err) && cancels:
 		return s.finish(t, c, outcomeCanceled, false), false
--- a/internal/faulttest/soakevents.go
+++ b/internal/faulttest/soakevents.go
@@ -79,102 +79,6 @@
 	s.logEvent("%s was stopped for moments", n.name)
 }
 
-// kill kills the process, and starts the next one.
-func (s *soakRun) kill(ctx context.Context, n *node, _ *rand.Rand) {
-	from := time.Now()
-	s.logEvent("%s SIGKILL", n.name)
-	if exited := n.signal(syscall.SIGKILL); exited != nil {
-		<-exited
-	}
-	s.recordShutdown(n, false, from)
-	s.startNode(ctx, n)
-}
-
-// terminate sends SIGTERM, kills the process at the earliest time that the platform may, and starts the next
-// one.
-func (s *soakRun) terminate(ctx context.Context, n *node, rng *rand.Rand) {
-	from := time.Now()
-	s.logEvent("%s SIGTERM", n.name)
-	exited := n.signal(syscall.SIGTERM)
-	if exited == nil {
-		return
-	}
-	if rng.IntN(3) == 0 {
-		n.signal(syscall.SIGHUP)
-	}
-	s.awaitEnd(n.name, exited, func() { n.signal(syscall.SIGKILL) })
-	s.recordShutdown(n, true, from)
-	s.startNode(ctx, n)
-}
-
-// awaitEnd waits for a process that got SIGTERM, as long as the platform does at least, then kills it.
-func (s *soakRun) awaitEnd(name string, exited <-chan struct{}, kill func()) {
-	select {
-	case <-exited:
-	case <-time.After(s.deadline + killDelay):
-		s.logEvent("%s SIGKILL at the earliest", name)
-		kill()
-		<-exited
-	}
-}
-
-// recordShutdown records the end of a process.
-func (s *soakRun) recordShutdown(n *node, graceful bool, from time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.intervals.shutdowns = append(s.intervals.shutdowns, shutdownInterval{n.index, graceful, interval{from, time.Now()}})
-}
-
-// startNode starts a gateway's next process, which has to become ready in time.
-func (s *soakRun) startNode(ctx context.Context, n *node) {
-	if err := s.cluster.start(n); err != nil {
-		s.addViolation(ruleStart, "%s: %v", n.name, err)
-		return
-	}
-	begun := time.Now()
-	readyCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), readyTimeout+outageAllowance)
-	defer stop()
-	if err := s.cluster.waitUntilNodeReady(readyCtx, n); err != nil {
-		s.addViolation(ruleReady, "%v", err)
-		return
-	}
-	s.logEvent("%s ready after %d ms", n.name, time.Since(begun).Milliseconds())
-}
-
-// upgrade starts the next process beside the one that serves, and terminates that one once the next can
-// serve.
-func (s *soakRun) upgrade(ctx context.Context, n *node, _ *rand.Rand) {
-	n.mu.Lock()
-	old := n.process
-	n.process = nil
-	n.mu.Unlock()
-	if old == nil {
-		return
-	}
-	begun := time.Now()
-	if err := s.cluster.start(n); err != nil {
-		s.addViolation(ruleStart, "%s: %v", n.name, err)
-		return
-	}
-	for !isSuccess(s.callAdmin(ctx, n, http.MethodGet, "/-/ready")) && time.Since(begun) < readyTimeout+outageAllowance {
-		time.Sleep(pollInterval)
-	}
-	if time.Since(begun) >= readyTimeout+outageAllowance {
-		s.addViolation(ruleReady, "%s beside its predecessor", n.name)
-	}
-	from := time.Now()
-	s.logEvent("%s next process ready after %d ms; SIGTERM to the one before", n.name, from.Sub(begun).Milliseconds())
-	n.mu.Lock()
-	exited := old.signal(syscall.SIGTERM)
-	n.mu.Unlock()
-	s.awaitEnd(n.name, exited, func() {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		old.signal(syscall.SIGKILL)
-	})
-	s.recordShutdown(n, true, from)
-}
-
 // drainClients has operators drain a gateway, checks it drainCheckDelay later, and has them resume it.
 func (s *soakRun) drainClients(ctx context.Context, n *node, _ *rand.Rand) {
 	if status := s.callAdmin(ctx, n, http.MethodPut, "/-/drain"); !isSuccess(status) {
@@ -208,20 +112,29 @@
 // short.
 func (s *soakRun) limitResource(resource int, name string) gatewayEvent {
 	return func(_ context.Context, n *node, rng *rand.Rand) {
-		pid := n.pid()
-		var usual unix.Rlimit
-		if pid == 0 || unix.Prlimit(pid, resource, nil, &usual) != nil {
+		restore, ok := limitProcess(n.pid(), resource)
+		if !ok {
 			return
 		}
 		s.logEvent("%s has no %s", n.name, name)
-		// The process may end meanwhile: then there is nothing to limit.
-		_ = unix.Prlimit(pid, resource, &unix.Rlimit{Cur: min(limitWhileShort, usual.Max), Max: usual.Max}, nil)
 		time.Sleep(between(rng, 200*time.Millisecond, time.Second))
-		_ = unix.Prlimit(pid, resource, &usual, nil)
+		restore()
 		s.logEvent("%s has %s again", n.name, name)
 	}
 }
 
+// limitProcess limits a resource of a process to limitWhileShort until restore is called. ok is false if the
+// process does not run.
+func limitProcess(pid, resource int) (restore func(), ok bool) {
+	var usual unix.Rlimit
+	if pid == 0 || unix.Prlimit(pid, resource, nil, &usual) != nil {
+		return nil, false
+	}
+	// The process may end meanwhile: then there is nothing to limit.
+	_ = unix.Prlimit(pid, resource, &unix.Rlimit{Cur: min(limitWhileShort, usual.Max), Max: usual.Max}, nil)
+	return func() { _ = unix.Prlimit(pid, resource, &usual, nil) }, true
+}
+
 // callAdmin makes an operator's call to the process that serves now. It returns the status, 0 without an
 // answer in time. A call is made also once the context has ended.
 func (s *soakRun) callAdmin(ctx context.Context, n *node, method, path string) int {
--- /dev/null
+++ b/internal/faulttest/soakshutdown.go
@@ -0,0 +1,108 @@
+package faulttest
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+)
+
+// This file has the events of a soak that end a gateway's process.
+
+// kill kills the process, and starts the next one.
+func (s *soakRun) kill(ctx context.Context, n *node, _ *rand.Rand) {
+	from := time.Now()
+	s.logEvent("%s SIGKILL", n.name)
+	if process := n.currentProcess(); process != nil {
+		n.signalProcess(process, syscall.SIGKILL)
+		<-process.exited
+		s.recordShutdown(n, process, false, from)
+	}
+	s.startNode(ctx, n)
+}
+
+// terminate sends SIGTERM, kills the process at the earliest time that the platform may, and starts the next
+// one.
+func (s *soakRun) terminate(ctx context.Context, n *node, rng *rand.Rand) {
+	process := n.currentProcess()
+	from := time.Now()
+	s.logEvent("%s SIGTERM", n.name)
+	if process == nil {
+		return
+	}
+	n.signalProcess(process, syscall.SIGTERM)
+	if rng.IntN(3) == 0 {
+		n.signalProcess(process, syscall.SIGHUP)
+	}
+	s.awaitEnd(n, process, from)
+	s.recordShutdown(n, process, true, from)
+	s.startNode(ctx, n)
+}
+
+// awaitEnd waits for a process that got SIGTERM at a time, as long as the platform does at least, then kills it.
+func (s *soakRun) awaitEnd(n *node, process *gatewayProcess, from time.Time) {
+	select {
+	case <-process.exited:
+	case <-time.After(time.Until(from.Add(s.deadline + killDelay))):
+		s.logEvent("%s SIGKILL at the earliest", n.name)
+		n.signalProcess(process, syscall.SIGKILL)
+		<-process.exited
+	}
+}
+
+// recordShutdown records the end of a process that has ended. Its times are those of the signals and of the
+// process's end, not of the call: on a busy machine the soak itself may be late.
+func (s *soakRun) recordShutdown(n *node, process *gatewayProcess, graceful bool, from time.Time) {
+	shutdown := shutdownInterval{gateway: n.index, graceful: graceful, interval: interval{from, process.end.at}}
+	if process.end.killed {
+		shutdown.killedAt = process.killSentAt
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.intervals.shutdowns = append(s.intervals.shutdowns, shutdown)
+}
+
+// startNode starts a gateway's next process, which has to become ready in time.
+func (s *soakRun) startNode(ctx context.Context, n *node) {
+	if err := s.cluster.start(n); err != nil {
+		s.addViolation(ruleStart, "%s: %v", n.name, err)
+		return
+	}
+	begun := time.Now()
+	readyCtx, stop := context.WithTimeout(context.WithoutCancel(ctx), readyTimeout+outageAllowance)
+	defer stop()
+	if err := s.cluster.waitUntilNodeReady(readyCtx, n); err != nil {
+		s.addViolation(ruleReady, "%v", err)
+		return
+	}
+	s.logEvent("%s ready after %d ms", n.name, time.Since(begun).Milliseconds())
+}
+
+// upgrade starts the next process beside the one that serves, and terminates that one once the next can
+// serve.
+func (s *soakRun) upgrade(ctx context.Context, n *node, _ *rand.Rand) {
+	n.mu.Lock()
+	old := n.process
+	n.process = nil
+	n.mu.Unlock()
+	if old == nil {
+		return
+	}
+	begun := time.Now()
+	if err := s.cluster.start(n); err != nil {
+		s.addViolation(ruleStart, "%s: %v", n.name, err)
+		return
+	}
+	for !isSuccess(s.callAdmin(ctx, n, http.MethodGet, "/-/ready")) && time.Since(begun) < readyTimeout+outageAllowance {
+		time.Sleep(pollInterval)
+	}
+	if time.Since(begun) >= readyTimeout+outageAllowance {
+		s.addViolation(ruleReady, "%s beside its predecessor", n.name)
+	}
+	from := time.Now()
+	s.logEvent("%s next process ready after %d ms; SIGTERM to the one before", n.name, from.Sub(begun).Milliseconds())
+	n.signalProcess(old, syscall.SIGTERM)
+	s.awaitEnd(n, old, from)
+	s.recordShutdown(n, old, true, from)
+}
