soak: crowds, signals in series and clients that go on, during a shutdown

Played by seeds that leave 3 or 4 when divided by 5 (240 and the mutants' older seeds draw what they drew): SIGTERM twice, SIGHUP before and behind SIGTERM, an operators' drain and then SIGTERM, a want of descriptors while the listener would be closed; clients that go on using open connections until the process ends; where 3 is left a crowd of new connections. On a shared listening socket only upgrades have the clients: without a successor they would wait for the next process. Three new mutants: the listener is closed over its accept queue (caught by seed 8), a second SIGTERM ends the process at once (seed 4), requests are admitted until SIGKILL (seed 4). TestSoak has seed 8 besides.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -22,6 +22,7 @@
 // Help implements kong.HelpProvider.
 func (drillSoakCmd) Help() string {
 	return "Drawn from the seed: how many gateways the settings name (3 to 900), pushed or polled lists, what draining replicas do with new work; and faults: SIGHUP, SIGSTOP for up to 0.15 s, SIGKILL, SIGTERM with SIGKILL at the earliest, upgrades (odd seeds), operators' calls,\n" +
+		"shutdowns in a series of signals with clients that use open connections until the end (seeds that leave 3 or 4 when divided by 5; a crowd of new ones where they leave 3),\n" +
 		"too few file descriptors, full disks, replicas that drain in waves, are replaced in place, fail and come back warming up, discovery whose watches fall\n" +
 		"silent, or that is down, crowded or slow or sends lists that cannot be read, clients that disconnect\n" +
 		"or send in pieces, many idle clients (every third seed). Everything is on loopback addresses. Exit code 1: a rule was broken.\n\nExample:\n  archknot drill soak deploy/soak.plan --seeds 50 --jobs 2"
--- a/internal/faulttest/soak.go
+++ b/internal/faulttest/soak.go
@@ -82,8 +82,10 @@
 	// waveOccasions start waves of drains.
 	waveOccasions chan struct{}
 	clients       *soakClients
-	startedAt     time.Time
-	deadline      time.Duration // the longest, as it counts for a shutdown
+	// shutdownClients are the clients of shutdowns.
+	shutdownClients sync.WaitGroup
+	startedAt       time.Time
+	deadline        time.Duration // the longest, as it counts for a shutdown
 
 	mu         sync.Mutex
 	events     []string
@@ -223,6 +225,7 @@
 	defer endEvents()
 	s.startEvents(eventCtx, &events)
 	events.Wait()
+	s.shutdownClients.Wait()
 	endTraffic()
 	traffic.Wait()
 }
--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -48,7 +48,7 @@
 	if testing.Short() {
 		t.Skip("it starts processes")
 	}
-	for _, seed := range []uint64{1, 4, 11, 13} { // 200 and 900 gateways, pushed lists, a shared listening socket
+	for _, seed := range []uint64{1, 4, 8, 11, 13} { // 200 and 900 gateways, pushed lists, a shared listening socket, crowds
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			expectNoViolation(t, seed)
@@ -101,6 +101,13 @@
 		{"internal/gateway/drain.go", "return t.drainedAt.Load() > 0 || t.shutdownAt.Load() > 0", "return t.shutdownAt.Load() > 0"}}},
 	{"SIGTERM drops requests in flight", "lost", []uint64{5, 6, 1}, mutantTime, []change{
 		{"internal/gateway/gateway.go", "return g.clients.waitUntilEmpty(ctx)", "return nil"}}},
+	{"the listener is closed over its accept queue", "lost", []uint64{8, 18, 38}, soakTime, []change{
+		{"internal/sockets/closeempty.go", "empty = !hasWaiting(int(fd)); empty", "empty = true; empty"}}},
+	{"a second SIGTERM ends the process at once", "lost", []uint64{4, 6}, soakTime, []change{
+		{"internal/lifecycle/run.go", "			if draining {\n				continue\n			}", "			if draining {\n				return nil\n			}"}}},
+	{"requests are admitted until SIGKILL", "lost", []uint64{4, 6}, soakTime, []change{
+		{"internal/gateway/drain.go", "return t.drainedAt.Load() > 0 || t.shutdownAt.Load() > 0", "return t.drainedAt.Load() > 0"},
+		{"internal/gateway/drain.go", "|| shutdownAt > 0 && now-shutdownAt >= shutdownAdmitPeriod", "&& shutdownAt == 0"}}},
 	{"a stale list is used, and waits grow with the fleet", "drain", []uint64{1, 7, 13}, mutantTime, []change{
 		{"balancer/discovery.go", "return now >= b.ListTrustedUntil() }", "_ = now; return false }"},
 		{"balancer/discovery.go", "return max(b.lastHeardAt, b.unavailableAt) + b.settings.ListTrust()", "return math.MaxInt64"},
--- a/internal/faulttest/soakclient.go
+++ b/internal/faulttest/soakclient.go
@@ -88,7 +88,9 @@
 	// writeTimeout bounds the writing of a request.
 	writeTimeout = 2 * time.Second
 	// clientStream is where the random numbers of clients begin among those of a seed.
-	clientStream = 1000
+	clientStream     = 1000
+	persistentStream = 2000
+	crowdStream      = 3000
 )
 
 func newSoakClients(spec *model.Spec, nodes []*node) *soakClients {
@@ -157,6 +159,9 @@
 // connSource returns an open connection to a gateway; nil: a new one is to be opened.
 type connSource func(gateway int) *soakConn
 
+// noOpenConn is the connSource of clients that open a connection for each request.
+func noOpenConn(int) *soakConn { return nil }
+
 // sendRequest sends one request and waits for its end. It is sent again once if a reused connection was
 // closed without a response.
 func (s *soakClients) sendRequest(rng *rand.Rand, stream *model.Stream, gateway int, openConn connSource) (outcome string) {
--- a/internal/faulttest/soakshutdown.go
+++ b/internal/faulttest/soakshutdown.go
@@ -31,11 +31,20 @@
 	if process == nil {
 		return
 	}
-	n.signalProcess(process, syscall.SIGTERM)
-	if rng.IntN(3) == 0 {
-		n.signalProcess(process, syscall.SIGHUP)
+	stopClients := func() {}
+	if !s.spec.Drill.SharedListener { // on a shared one they would wait for the next process
+		stopClients = s.startShutdownClients(ctx, n)
+	}
+	if s.hasShutdownPlays() {
+		from = s.sendSignalSeries(ctx, n, process, rng)
+	} else {
+		n.signalProcess(process, syscall.SIGTERM)
+		if rng.IntN(3) == 0 {
+			n.signalProcess(process, syscall.SIGHUP)
+		}
 	}
 	s.awaitEnd(n, process, from)
+	stopClients()
 	s.recordShutdown(n, process, true, from)
 	s.startNode(ctx, n)
 }
@@ -102,7 +111,9 @@
 	}
 	from := time.Now()
 	s.logEvent("%s next process ready after %d ms; SIGTERM to the one before", n.name, from.Sub(begun).Milliseconds())
+	stopClients := s.startShutdownClients(ctx, n)
 	n.signalProcess(old, syscall.SIGTERM)
 	s.awaitEnd(n, old, from)
+	stopClients()
 	s.recordShutdown(n, old, true, from)
 }
