--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -17,8 +17,8 @@
 	"archknot/internal/faulttest"
 )
 
-// soakTime is how long a soak of the program runs, mutantTime one of most mutants.
-const soakTime, mutantTime = 25 * time.Second, 18 * time.Second
+// soakTime is how long a soak of the program runs, mutantTime one of most mutants, planTime one as the plan has it.
+const soakTime, mutantTime, planTime = 25 * time.Second, 18 * time.Second, 30 * time.Second
 
 // runSoak runs the soak of deploy/soak.plan with a seed, for a program or this one.
 func runSoak(t *testing.T, seed uint64, program string, lasts time.Duration) *faulttest.SoakResult {
@@ -65,10 +65,35 @@
 	expectNoViolation(t, 240)
 }
 
+// Guards against: requests that wait on a shared listening socket, between a process that has closed it and one that does
+// not accept yet, until their clients give up.
+func TestSoakOfASharedSocketThatNobodyAccepts(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts processes")
+	}
+	t.Parallel()
+	expectNoViolationIn(t, 347, planTime)
+}
+
+// Guards against: a successor that gets no list in the seconds between two faults of discovery.
+func TestSoakOfASuccessorBetweenFaultsOfDiscovery(t *testing.T) {
+	if testing.Short() {
+		t.Skip("it starts processes")
+	}
+	t.Parallel()
+	expectNoViolationIn(t, 331, planTime)
+}
+
 // expectNoViolation expects the soak of a seed to violate no rule, and no process to end by itself.
 func expectNoViolation(t *testing.T, seed uint64) {
 	t.Helper()
-	r := runSoak(t, seed, "", soakTime)
+	expectNoViolationIn(t, seed, soakTime)
+}
+
+// expectNoViolationIn is expectNoViolation for a soak that runs for a time.
+func expectNoViolationIn(t *testing.T, seed uint64, lasts time.Duration) {
+	t.Helper()
+	r := runSoak(t, seed, "", lasts)
 	for _, b := range r.Violations {
 		t.Errorf("rule %s, request %s: %s", b.Rule, b.RequestID, b.Details)
 	}
