--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -128,9 +128,9 @@
 		{"internal/gateway/gateway.go", "return g.clients.waitUntilEmpty(ctx)", "return nil"}}},
 	{"the listener is closed over its accept queue", "lost", []uint64{8, 18, 38}, soakTime, []change{
 		{"internal/sockets/closeempty.go", "empty = !hasWaiting(int(fd)); empty", "empty = true; empty"}}},
-	{"a second SIGTERM ends the process at once", "lost", []uint64{4, 6}, soakTime, []change{
+	{"a second SIGTERM ends the process at once", "lost", []uint64{4, 28, 18, 14}, soakTime, []change{
 		{"internal/lifecycle/run.go", "			if draining {\n				continue\n			}", "			if draining {\n				return nil\n			}"}}},
-	{"requests are admitted until SIGKILL", "lost", []uint64{4, 6}, soakTime, []change{
+	{"requests are admitted until SIGKILL", "lost", []uint64{4, 18, 28}, soakTime, []change{
 		{"internal/gateway/drain.go", "return t.drainedAt.Load() > 0 || t.shutdownAt.Load() > 0", "return t.drainedAt.Load() > 0"},
 		{"internal/gateway/drain.go", "|| shutdownAt > 0 && now-shutdownAt >= shutdownAdmitPeriod", "&& shutdownAt == 0"}}},
 	{"a stale list is used, and waits grow with the fleet", "drain", []uint64{1, 7, 13}, mutantTime, []change{
