Review: the case of lost requests is the first, that of the drain the second

The gravest first: accepted work that is never answered goes before work that a draining replica turns away. Case 1 is what was committed as case 2, and the other way round. The claims say what counts of each.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,11 +1,10 @@
-// Command 2 restarts a gateway that is linked to another one, as operators do, while it serves requests: see claim.txt.
+// Command 2 restarts a gateway, whose lists are pushed, at the beginning of an outage of discovery: see claim.txt.
 package main
 
 import (
 	"fmt"
-	"hash/crc32"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,71 +12,106 @@
 )
 
 const (
-	deadline   = 4 * time.Second
-	sigtermAt  = 300 * time.Millisecond // after the requests were sent
-	firstToken = 3300 * time.Millisecond
+	deadline = 3 * time.Second
+	// grace is the settings' stopSendingWithinUs; slack is what the rules on sockets add to each time limit.
+	grace = 1500 * time.Millisecond
+	slack = 50 * time.Millisecond
+	// outage is how long discovery is down.
+	outage = 8 * time.Second
+	// interval is the time between two clients' requests.
+	interval = 50 * time.Millisecond
 	// killAfter is the least time from SIGTERM to SIGKILL: the longest deadline, taken as 3 s, and 0.7 s.
 	killAfter = 3700 * time.Millisecond
 )
 
+// deployment is the gateway with what surrounds it.
+type deployment struct {
+	*standin.Case
+	listen   string
+	agent    *standin.Discovery
+	known    standin.List // as the gateway last had it
+	drained  atomic.Bool  // r1 drains: it turns away what is new
+	requests int
+}
+
 func main() {
-	c := standin.New("2")
-	classes := []map[string]any{standin.Class("order", "once", deadline), standin.Class("chat", "repeatable", deadline)}
-	plan := func(id string) standin.Plan {
-		if strings.HasPrefix(id, "order") { // the first token comes within the deadline, the end right after
-			return standin.Plan{FirstToken: firstToken, Events: 3, Gap: 20 * time.Millisecond, Prompt: 20, OutputPerText: 4}
-		}
-		return standin.Plan{FirstToken: 100 * time.Millisecond, Events: 33, Gap: 100 * time.Millisecond, Prompt: 20, OutputPerText: 4}
+	d := &deployment{Case: standin.New("2")}
+	answer := standin.Plan{FirstToken: 30 * time.Millisecond, Events: 4, Gap: 10 * time.Millisecond, Prompt: 20, OutputPerText: 4}
+	r1 := d.StartReplica("r1", func(string) standin.Plan {
+		plan := answer
+		plan.Declines = d.drained.Load()
+		return plan
+	})
+	r2 := d.StartReplica("r2", func(string) standin.Plan { return answer })
+	d.agent, d.listen = d.StartDiscovery(r1, r2), d.FreeAddr()
+	first := d.start(false)
+	d.load(2 * time.Second)
+	d.known = d.agent.List()
+
+	first.Signal(syscall.SIGTERM)
+	if _, ended := first.Ended(killAfter); !ended {
+		first.Signal(syscall.SIGKILL)
 	}
-	replicas := []*standin.Replica{c.StartReplica("r1", plan), c.StartReplica("r2", plan), c.StartReplica("r3", plan)}
-	discovery := c.StartDiscovery(replicas...)
-	peers := []string{c.FreeAddr(), c.FreeAddr()}
-	var listen []string
-	var gateways []*standin.Process
-	for i := range 2 {
-		name := fmt.Sprintf("n%d", i+1)
-		listen = append(listen, c.FreeAddr())
-		platform := c.Platform(name, listen[i], discovery.Addr, classes, func(_, s map[string]any) {
-			s["nInstances"], s["selfIndex"] = 2, i
-			if limits, ok := s["limits"].(map[string]any); ok {
-				limits["peers"] = true
-			}
-		})
-		conf := c.WriteFile(name+".conf", fmt.Sprintf("[peers]\nlisten %s\nsite here\njoin %s\n", peers[i], peers[1-i]))
-		gateways = append(gateways, c.Start(name, []string{"NODE_CONFIG=" + platform, "ARCHKNOT_CONF=" + conf}))
+	d.agent.SetLifecycle("r1", "draining") // the agent has it from now on
+	d.drained.Store(true)
+	time.Sleep(500 * time.Millisecond)
+	if d.Trouble { // discovery goes down, and so the agent is silent
+		d.agent.SetSilent(true)
+		time.AfterFunc(outage, func() { d.agent.SetSilent(false) })
 	}
-	for i := range gateways {
-		c.AwaitReady(gateways[i], listen[i])
+	second := d.start(true)
+	ready := time.Now()
+	d.load(outage + 2*time.Second)
+	if status, ended := second.Ended(0); ended {
+		d.Abort("the gateway ended: %s", status)
 	}
-	time.Sleep(2 * time.Second) // they find each other
+	d.Finish(d.judge(r1, ready))
+}
 
-	var violations []string
-	var mu sync.Mutex
+// start starts the gateway and waits until it is ready.
+func (d *deployment) start(again bool) *standin.Process {
+	classes := []map[string]any{standin.Class("help-chat", "repeatable", deadline)}
+	platform := d.Platform("n1", d.listen, d.agent.Addr, classes, func(platform, settings map[string]any) {
+		settings["discovery"] = "pushed"
+		if rules, ok := settings["rules"].(map[string]any); ok {
+			rules["stopSendingWithinUs"] = grace.Microseconds()
+			rules["startCapacity"], rules["coldUs"], rules["tipAfterUs"] = 0.19, 24_000_000, 2_000_000
+		}
+		if limits, ok := settings["limits"].(map[string]any); ok {
+			limits["connectTimeoutUs"] = 120_000
+		}
+		if again {
+			platform["known"] = d.known
+		}
+	})
+	gateway := d.Start("n1", []string{"NODE_CONFIG=" + platform})
+	d.AwaitReady(gateway, d.listen)
+	return gateway
+}
+
+// load sends requests for a time, and waits for the answers.
+func (d *deployment) load(span time.Duration) {
 	var clients sync.WaitGroup
-	for _, r := range []standin.Request{
-		{ID: "order-1", Class: "order", Tenant: "island-tax", Deadline: deadline},
-		{ID: "chat-1", Class: "chat", Tenant: "island-tax", Deadline: deadline},
-	} {
-		clients.Go(func() {
-			answer := c.Send(listen[0], r)
-			if answer.Whole() || answer.Status >= 400 { // served, refused or failed: a final answer
-				return
-			}
-			mu.Lock()
-			violations = append(violations, fmt.Sprintf("%s has no whole answer: %v", r.ID, answer))
-			mu.Unlock()
-			// What the project's page on take-overs offers to clients that know it; it does not change the verdict.
-			c.Send(listen[1], standin.Request{ID: r.ID + "-rest", Class: r.Class, Tenant: r.Tenant, Deadline: deadline,
-				Headers: map[string]string{"Req-Rest": fmt.Sprintf("id=%s,ask=1,bytes=%d,sum=%08x", r.ID, len(answer.Body), crc32.ChecksumIEEE([]byte(answer.Body)))}})
-		})
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(interval) {
+		d.requests++
+		r := standin.Request{ID: fmt.Sprintf("r-%d", d.requests), Class: "help-chat", Tenant: "island-tax", Deadline: deadline}
+		clients.Go(func() { d.Send(d.listen, r) })
 	}
-	time.Sleep(sigtermAt)
-	if c.Trouble {
-		gateways[0].Signal(syscall.SIGTERM)
-		if _, ended := gateways[0].Ended(killAfter); !ended {
-			gateways[0].Signal(syscall.SIGKILL)
+	clients.Wait()
+}
+
+// judge counts what the draining replica got too late. The agent had the change before the new process began; the
+// grace is counted from the moment at which that process was ready, which is later.
+func (d *deployment) judge(draining *standin.Replica, ready time.Time) (violations []string) {
+	late, last := 0, time.Duration(0)
+	for _, a := range draining.Arrivals() {
+		if since := a.At.Sub(ready); since > grace+slack {
+			late++
+			last = since
 		}
 	}
-	clients.Wait()
-	c.Finish(violations)
+	if late > 0 {
+		violations = append(violations, fmt.Sprintf("%d attempts at r1, which drains, later than %v after the new process was ready, the last one after %v", late, grace+slack, last))
+	}
+	return violations
 }
