--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -159,6 +159,7 @@
 	mu      sync.Mutex
 	list    List
 	silent  bool          // it accepts calls and does not answer
+	delay   time.Duration // a call is answered so much later
 	changed chan struct{} // closed at the next change
 }
 
@@ -178,6 +179,10 @@
 		http.NotFound(w, r)
 		return
 	}
+	d.mu.Lock()
+	delay := d.delay
+	d.mu.Unlock()
+	time.Sleep(delay)
 	since, err := strconv.ParseInt(r.FormValue("since"), 10, 64)
 	hasSince := err == nil
 	wait, _ := strconv.Atoi(r.FormValue("timeout_ms")) // malformed: 0
@@ -238,6 +243,11 @@
 	d.c.Logf("discovery: %s is %s, generation %d", id, lifecycle, d.List().Generation)
 }
 
+// SetDelay sets how much later a call is answered.
+func (d *Discovery) SetDelay(delay time.Duration) {
+	d.change(func() { d.delay = delay })
+}
+
 // SetSilent begins or ends a time in which calls are accepted and not answered.
 func (d *Discovery) SetSilent(silent bool) {
 	d.change(func() { d.silent = silent })
