A start into an outage of discovery no longer makes a stored list current

Clients waited for a second attempt.

Cause: a silent agent learns nothing from then on; the gateway took that for "this process has all that the agent had". watchDiscovery set noChangeMissed at the start, and each silent call dated the stored list anew, which the log shows (list_age_ms below 1.3 s throughout). Behind it two more places kept the replica in use: the doubtful list took it as confirmed by health checks, which a draining replica passes, and minLocalListValidity trusted a list for 2 s where the grace is 1.5 s.

Change: the balancer alone owns the list's age (listvalidity.go). Until discovery answers, a stored list may lack changes. It is used for all replicas for ListValidity, and then for those that have accepted an attempt that was sent while discovery could not be reached: by the protocol a draining replica turns new work away, and no later change can count as known. The write of an attempt is held to its replica's own limit.

Captures are of format 1.9 (new fields of the state); archknot replay names the kinds of lists that it called unknown.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -28,6 +28,7 @@
 	promptCache
 	pickState
 	discoveryState
+	listValidity
 	trafficRates
 	attemptBudgets
 	admissionState
--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -1,27 +1,9 @@
 package balancer
 
-import (
-	"cmp"
-	"math"
-)
-
-// The endpoint list of discovery: applying its changes, polling again after failed calls, and
-// limiting how long an old list is used.
+// The endpoint list of discovery: applying its changes, and polling again after failed calls. How
+// long the list is used is in listvalidity.go.
 
 const (
-	// maxNotificationDelay is the time after which a gateway counts as notified of a change of
-	// the list, even if its calls fail. It starts when discovery has the change and is reachable.
-	maxNotificationDelay Micros = 6_000_000
-	// writeDelay is the longest time between the decision for an attempt and its write to the
-	// connection. Half of it allows for a pause between reading the clock and writing.
-	writeDelay Micros = 300_000
-	// minLocalListValidity is the least ListValidity with an agent on this machine. It leaves time
-	// for a call to the agent.
-	minLocalListValidity Micros = 2_000_000
-	// minConfirmedConnAge is the least age of a connection over which a health check confirms a
-	// replica. A younger one may lead to a new process at the same address, which answers
-	// before it is listed.
-	minConfirmedConnAge Micros = 5_000_000
 	// confirmationLead is the time before the list becomes unconfirmed at which replicas are first
 	// checked, in fleets in which requests poll no replicas.
 	confirmationLead Micros = 1_500_000
@@ -46,65 +28,47 @@
 	unspreadCallTime Micros = 500_000
 )
 
-// ListValidity returns how long the list may be used after the last time at which it was current.
-// An attempt that is written by then is within DrainGrace of every change that the gateway does
-// not have yet. The changes of a local agent count as known as soon as the agent has them.
-func (s *Settings) ListValidity() Micros {
-	grace := max(0, s.DrainGrace-writeDelay)
-	if s.LocalDiscovery {
-		return max(minLocalListValidity, grace)
-	}
-	return maxNotificationDelay + grace
-}
-
 // discoveryState is the state of the watch of discovery.
 type discoveryState struct {
-	listReceived  bool // discovery itself has sent a list
-	watching      bool
-	nextPollAt    Micros // 0: not due
-	pollBackoff   Micros
-	listCurrentAt Micros // the list includes all changes up to this time
-	// unavailableAt is the start of the last call to which discovery answered that it serves
-	// no list, because it is down or overloaded.
-	unavailableAt Micros
+	watching    bool
+	nextPollAt  Micros // 0: not due
+	pollBackoff Micros
 }
 
 // ListChanged handles an endpoint list or a failed call to discovery. A replica that the list
 // shows as draining or removed gets no new attempt from this call on.
 func (b *Balancer) ListChanged(now Micros, list EndpointList) {
 	if list.Kind.Failed() {
-		switch list.Kind {
-		case ListUnreachable:
-			b.recordListCurrent(now, list.AsOf)
-		case ListUnavailable:
-			b.unavailableAt = max(b.unavailableAt, min(now, cmp.Or(list.AsOf, now)))
-		}
-		if b.settings.PollDiscovery {
-			b.scheduleNextPoll(now, list.Kind == ListUnreachable)
-		}
+		b.pollFailed(now, list)
 		return
 	}
+	firstList := !b.listReceived
 	if list.Kind.FromDiscovery() {
 		b.watching, b.pollBackoff, b.nextPollAt = true, 0, 0
-		b.recordListCurrent(now, list.AsOf)
+		b.recordAnswered(now, list.AsOf)
 	}
 	if list.Kind.Complete() {
 		b.markAbsentRemoved(list.Endpoints)
 	}
 	b.fleetSize = list.FleetSize
 	for _, endpoint := range list.Endpoints {
-		b.applyEndpoint(now, endpoint, !b.listReceived)
-	}
-	if list.Kind.FromDiscovery() {
-		b.listReceived = true
+		b.applyEndpoint(now, endpoint, firstList)
 	}
 	b.removeDelistedRows()
 	b.refreshEstimates(now)
 }
 
-// recordListCurrent records that the list includes all changes up to asOf; 0: now.
-func (b *Balancer) recordListCurrent(now, asOf Micros) {
-	b.listCurrentAt = max(b.listCurrentAt, min(now, cmp.Or(asOf, now)))
+// pollFailed handles a failed call to discovery.
+func (b *Balancer) pollFailed(now Micros, list EndpointList) {
+	switch list.Kind {
+	case ListUnreachable:
+		b.recordUnreachable(now, list.AsOf)
+	case ListUnavailable:
+		b.recordUnavailable(now, list.AsOf)
+	}
+	if b.settings.PollDiscovery {
+		b.scheduleNextPoll(now, list.Kind == ListUnreachable)
+	}
 }
 
 // markAbsentRemoved marks the replicas as removed that are not in a complete list.
@@ -165,37 +129,6 @@
 	b.nextPollAt = now + int64(float64(b.pollBackoff)*(0.5+0.5*b.random()))
 }
 
-// ListAge returns the time since the list was last known to include all changes.
-func (b *Balancer) ListAge(now Micros) Micros { return now - b.listCurrentAt }
-
-// ListValidUntil returns the time until which attempts may be written according to the list.
-// Later a replica may be draining or removed, and its DrainGrace over, without this gateway
-// having the change.
-func (b *Balancer) ListValidUntil() Micros {
-	if b.settings.WatchInterval <= 0 { // discovery sends only changes, so the list does not expire
-		return math.MaxInt64
-	}
-	return max(b.listCurrentAt, b.unavailableAt) + b.settings.ListValidity()
-}
-
-// ListStale reports whether the list is too old for new attempts.
-func (b *Balancer) ListStale(now Micros) bool { return now >= b.ListValidUntil() }
-
-// ListUnconfirmed reports whether ListValidity has passed since the list was last current. Such a
-// list, which logs call doubtful, is used until ListValidUntil, while discovery answers that it
-// serves none. If discovery is overloaded rather than down, changes may be missing, so new
-// attempts go only to replicas that a health check has confirmed.
-func (b *Balancer) ListUnconfirmed(now Micros) bool {
-	return b.settings.WatchInterval > 0 && now >= b.listCurrentAt+b.settings.ListValidity()
-}
-
-// isConfirmed reports whether a replica may get new attempts while the list is unconfirmed: it has
-// recently passed a health check over an old connection, so it accepts work and its process
-// is the listed one.
-func (b *Balancer) isConfirmed(now Micros, row *replicaRow) bool {
-	return now-row.confirmedAt < maxNotificationDelay
-}
-
 // confirmReplicas checks replicas shortly before and while the list is unconfirmed, in fleets in
 // which requests poll no replicas.
 func (b *Balancer) confirmReplicas(now Micros) {
--- a/balancer/discovery_test.go
+++ b/balancer/discovery_test.go
@@ -214,12 +214,13 @@
 }
 
 // Changes count as known as soon as an agent on this machine has them, so its list is valid for
-// DrainGrace only, and no less than the time of a call to the agent.
+// DrainGrace only, and no less than the time of a call to the agent. Guards against a bound that is longer than the
+// grace of a deployment: its draining replicas got work up to the difference after it.
 func TestTrustFollowsTheSettings(t *testing.T) {
 	for _, c := range []struct {
 		local           bool
 		grace, validity Micros
-	}{{false, 0, 6_000_000}, {false, 2_500_000, 8_200_000}, {true, 2_500_000, 2_200_000}, {true, 0, minLocalListValidity}} {
+	}{{false, 0, 6_000_000}, {false, 2_500_000, 8_200_000}, {true, 2_500_000, 2_200_000}, {true, 1_500_000, 1_200_000}, {true, 0, minLocalListValidity}} {
 		s := Settings{LocalDiscovery: c.local, DrainGrace: c.grace}
 		if got := s.ListValidity(); got != c.validity {
 			t.Errorf("%+v: ListValidity is %d", c, got)
--- a/balancer/introspect.go
+++ b/balancer/introspect.go
@@ -160,6 +160,8 @@
 		return "a health check is overdue"
 	case b.ListStale(now):
 		return fmt.Sprintf("the endpoint list is stale: last current %.3f s ago", float64(b.ListAge(now))/microsPerSecond)
+	case now >= b.entryValidUntil(row):
+		return "the endpoint list may lack changes, and the replica has accepted no attempt since"
 	case b.needsConfirmation(now, row):
 		return "the endpoint list is doubtful, and no health check has confirmed the replica"
 	case !lastResort && row.onTrial():
--- /dev/null
+++ b/balancer/listvalidity_test.go
@@ -0,0 +1,53 @@
+package balancer
+
+import "testing"
+
+// startWithStoredList returns a Balancer that was started with a stored list of four replicas at 100 s. A call to
+// discovery that began at 100.1 s has failed with the given kind.
+func startWithStoredList(t *testing.T, s Settings, kind ListKind) (*Balancer, *recorder) {
+	t.Helper()
+	s.WatchInterval, s.DrainGrace = second, 1_500_000
+	rec := &recorder{}
+	b, err := New(s, 7, rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(100 * second)
+	b.ListChanged(100*second, EndpointList{Kind: ListCached, Endpoints: fleet(4)})
+	b.ListChanged(100*second+second/5, EndpointList{Kind: kind, AsOf: 100*second + second/10})
+	return b, rec
+}
+
+// While a stored list may lack changes, only a replica that has accepted an attempt, sent while discovery could not be
+// reached, gets work after ListValidity. Guards against an outage that makes a stored list current: it says nothing of
+// changes of before.
+func TestStoredListIsUsedOnlyForAcceptingReplicas(t *testing.T) {
+	for _, local := range []bool{true, false} {
+		for _, gateways := range []int{3, 80} {
+			for kind, serves := range map[ListKind]bool{ListUnreachable: true, ListFailed: false} {
+				s := largeFleetSettings()
+				s.Gateways, s.LocalDiscovery = gateways, local
+				b, rec := startWithStoredList(t, s, kind)
+				accepting, _ := dispatchedIfChecksPass(b, rec, 100*second+second/4, 1)
+				b.FirstToken(100*second+second/2, Outcome{ID: 1, Replica: accepting, Elapsed: second / 4})
+				expired := b.CompleteListValidUntil()
+				b.ListChanged(expired-second/2, EndpointList{Kind: kind})
+				if to, _ := dispatchedIfChecksPass(b, rec, expired-second/4, 2); to == 0 {
+					t.Errorf("local %t, %d gateways: no dispatch before the list expires", local, gateways)
+				}
+				for id := RequestID(3); id < 10; id++ {
+					if to, _ := dispatchedIfChecksPass(b, rec, expired, id); to != 0 && to != accepting || (to != 0) != serves {
+						t.Errorf("local %t, %d gateways, list %d: dispatched to %d", local, gateways, kind, to)
+					}
+				}
+				if until := b.EntryValidUntil(accepting); b.EntryValidUntil(accepting%4+1) != expired || (until > expired) != serves {
+					t.Errorf("the entry of %d is valid until %d, others until %d", accepting, until, expired)
+				}
+				b.ListChanged(expired, EndpointList{Kind: ListDelta})
+				if to, _ := dispatchedIfChecksPass(b, rec, expired, 21); to == 0 {
+					t.Error("no dispatch after an answer of discovery")
+				}
+			}
+		}
+	}
+}
--- a/balancer/loadtable.go
+++ b/balancer/loadtable.go
@@ -77,6 +77,7 @@
 	healthCheckedAt Micros  // time of the last health check
 	confirmedAt     Micros  // when it last passed a health check over an old connection
 	warmingSince    Micros  // start of slow start
+	acceptedAt      Micros  // when the last attempt was sent that it accepted while the list may lack changes; 0: none
 }
 
 const (
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -69,7 +69,7 @@
 // eligible reports whether an attempt of a request may be sent to a replica.
 func (b *Balancer) eligible(now Micros, row *replicaRow, req *request, lastResort bool) bool {
 	// A replica that is draining or removed from the endpoint list gets no new attempt.
-	if row.state != EndpointReady || b.ListStale(now) || !b.mayPoll && b.needsConfirmation(now, row) {
+	if row.state != EndpointReady || now >= b.entryValidUntil(row) || !b.mayPoll && b.needsConfirmation(now, row) {
 		return false
 	}
 	if !lastResort && (now < row.backoffUntil || !b.zoneEligible(now, row) || row.onTrial()) {
--- a/balancer/polling.go
+++ b/balancer/polling.go
@@ -69,12 +69,6 @@
 	return !row.healthCheckPending && (row.reportedAt < 0 || now-row.reportedAt > pollReportAge || b.needsConfirmation(now, row))
 }
 
-// needsConfirmation reports whether a replica must pass a health check before new attempts,
-// because the list is unconfirmed.
-func (b *Balancer) needsConfirmation(now Micros, row *replicaRow) bool {
-	return b.ListUnconfirmed(now) && !b.isConfirmed(now, row)
-}
-
 // addRandomCandidate puts the warming replica that was drawn for the attempt, or else a random
 // replica, in the last place of the shortlist. Otherwise a replica that no prediction favours
 // would never be polled.
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -261,6 +261,7 @@
 		return
 	}
 	a.timeToFirstToken = max(1, outcome.Elapsed)
+	b.recordAccepted(a)
 	b.releasePrefill(a)
 	b.recordAnswer(now, a.row, Served, false)
 	b.learnFirstToken(now, a)
@@ -283,6 +284,7 @@
 	b.closeLedgerEntry(now, a, outcome.Status)
 	b.applyReport(now, a.row, outcome.Report)
 	if outcome.Status == Served {
+		b.recordAccepted(a)
 		b.learnFromSuccess(req, a, outcome)
 	}
 	switch {
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -157,6 +157,8 @@
 	// warming replicas (before 1.4) and demand for warming replicas (1.5).
 	a.skip(7, 9, 24, 25, 29, 30)
 	integer(a, 31, &b.unavailableAt)
+	integer(a, 33, &b.unreachableSince)
+	integer(a, 34, &b.unreachableAt)
 	sortedMap(a, 26, &b.zones.Zones, archiveZone)
 	integer(a, 27, &b.listCurrentAt)
 	a.float(28, &b.meanWork)
@@ -394,6 +396,7 @@
 	integer(a, 28, &row.warmingSince)
 	integer(a, 29, &row.warmingUntil)
 	integer(a, 31, &row.confirmedAt)
+	integer(a, 33, &row.acceptedAt)
 	a.skip(23, 30, 32) // work sent to a warming replica (before 1.4) and demand for it (1.5)
 	row.hash = splitmix(uint64(row.id))
 }
--- a/balancer/snapshot_test.go
+++ b/balancer/snapshot_test.go
@@ -211,7 +211,7 @@
 		t.Fatal(err)
 	}
 	if diff := cmp.Diff(b, got,
-		cmp.AllowUnexported(Balancer{}, loadTable{}, promptCache{}, pickState{}, discoveryState{}, trafficRates{}, attemptBudgets{}, admissionState{},
+		cmp.AllowUnexported(Balancer{}, loadTable{}, promptCache{}, pickState{}, discoveryState{}, listValidity{}, trafficRates{}, attemptBudgets{}, admissionState{},
 			replicaRow{}, request{}, requestPolicy{}, attempt{}, session{}, classStats{}, kindStats{}, linearFit{}),
 		cmpopts.IgnoreFields(Balancer{}, "sink", "interceptor", "breakdowns"),
 		cmpopts.IgnoreFields(pickState{}, "shortlist", "targetByKind"), cmpopts.EquateEmpty()); diff != "" {
--- a/cmd/archknot/drain_test.go
+++ b/cmd/archknot/drain_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,12 +30,14 @@
   "rules":{"askWithinUs":10000000,"stopSendingWithinUs":2500000,"startCapacity":1},
   "requestClasses":[{"name":"chat","targetUs":1000000,"deadlineUs":3000000,"effect":"repeatable","streamed":true}]}}`
 
-// drainingReplica is a replica that serves requests and passes health checks even while it drains.
+// drainingReplica is a replica that passes health checks, and serves requests unless it declines them, even while it
+// drains.
 type drainingReplica struct {
 	id, addr string
 	mu       sync.Mutex
 	server   *http.Server
 	attempts []time.Time // start times
+	declines atomic.Bool // it turns new work away
 }
 
 func newDrainingReplica(t *testing.T, id string) *drainingReplica {
@@ -66,6 +69,11 @@
 	if req.Method != http.MethodPost {
 		return
 	}
+	if r.declines.Load() {
+		w.Header().Set("Srv-Declined", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	time.Sleep(serviceTime)
 	w.Header().Set("Content-Type", "text/event-stream")
 	io.WriteString(w, firstEvent+lastEvent)
@@ -107,6 +115,7 @@
 type drainDeployment struct {
 	*deployment
 	draining *drainingReplica
+	sound    []*drainingReplica // the other replicas, which do not drain
 }
 
 func newDrainDeployment(t *testing.T, gateways int) *drainDeployment {
@@ -117,6 +126,8 @@
 		d.discovery.publish(r.id, endpointJSON(r.id, r.addr, "ready", ""))
 		if i == 0 {
 			d.draining = r
+		} else {
+			d.sound = append(d.sound, r)
 		}
 	}
 	d.platformConfig = func(adminAddr string) string {
--- a/cmd/archknot/fakediscovery_test.go
+++ b/cmd/archknot/fakediscovery_test.go
@@ -73,6 +73,14 @@
 	d.changed = make(chan struct{})
 }
 
+// fullList returns the list as discovery would send it now.
+func (d *fakeDiscovery) fullList() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text, _ := d.answer(false, 0)
+	return text
+}
+
 // setFault sets the state of the service, for open calls as well as new ones.
 func (d *fakeDiscovery) setFault(fault discoveryFault) {
 	d.mu.Lock()
--- a/cmd/archknot/fleet_test.go
+++ b/cmd/archknot/fleet_test.go
@@ -112,8 +112,9 @@
 // gatewayProcess is one process of the gateway.
 type gatewayProcess struct {
 	program
-	adminAddr string
-	logPath   string
+	adminAddr  string
+	configPath string
+	logPath    string
 }
 
 // start starts the gateway's next process with additional environment variables.
@@ -130,7 +131,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
-	p.logPath = filepath.Join(dir, "log")
+	p.configPath, p.logPath = path, filepath.Join(dir, "log")
 	log, err := os.Create(p.logPath)
 	if err != nil {
 		d.t.Fatal(err)
--- a/internal/capture/segment.go
+++ b/internal/capture/segment.go
@@ -32,7 +32,7 @@
 	// FormatMajor is the major version of the format. Captures of other major versions are rejected.
 	FormatMajor = 1
 	// FormatMinor is the minor version of the format. Minor versions only add fields.
-	FormatMinor = 8
+	FormatMinor = 9
 
 	// SegmentSuffix is the file name extension of segments.
 	SegmentSuffix = ".akcap"
--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -127,7 +127,7 @@
 var mutants = []mutant{
 	{"ejections are ignored", "drain", []uint64{1, 2}, mutantDuration, []change{
 		{"internal/gateway/endpoints.go", "return ejected || t.drainMarks[id]", "_ = ejected; return t.drainMarks[id]"},
-		{"internal/gateway/orders.go", "replica.Accepting() && (g.options.Orders == nil || !g.options.Orders.Ejected(id) && !g.pendingEjections.has(id))", "(id != \"\" && replica.Accepting())"}}},
+		{"internal/gateway/orders.go", "return g.options.Orders == nil || !g.options.Orders.Ejected(id) && !g.pendingEjections.has(id)", "return id != \"\""}}},
 	{"a drained gateway keeps its clients", "drained", []uint64{1, 2}, mutantDuration, []change{
 		{"internal/gateway/drain.go", "return t.drainedAt.Load() > 0 || t.shutdownAt.Load() > 0", "return t.shutdownAt.Load() > 0"}}},
 	{"SIGTERM drops requests in flight", "lost", []uint64{5, 6, 1}, mutantDuration, []change{
@@ -140,17 +140,19 @@
 		{"internal/gateway/drain.go", "return t.drainedAt.Load() > 0 || t.shutdownAt.Load() > 0", "return t.drainedAt.Load() > 0"},
 		{"internal/gateway/drain.go", "|| shutdownAt > 0 && now-shutdownAt >= shutdownAdmitPeriod", "&& shutdownAt == 0"}}},
 	{"a stale list is used, and poll intervals grow with the fleet", "drain", []uint64{1, 7, 13}, mutantDuration, []change{
-		{"balancer/discovery.go", "return now >= b.ListValidUntil() }", "_ = now; return false }"},
-		{"balancer/discovery.go", "return max(b.listCurrentAt, b.unavailableAt) + b.settings.ListValidity()", "return math.MaxInt64"},
-		{"balancer/discovery.go", "return b.settings.WatchInterval > 0 && now >= b.listCurrentAt+b.settings.ListValidity()", "_ = now; return false"},
+		{"balancer/listvalidity.go", "return now >= b.ListValidUntil() }", "_ = now; return false }"},
+		{"balancer/listvalidity.go", "return max(b.listCurrentAt, b.unavailableAt, b.unreachableAt) + b.settings.ListValidity()", "return math.MaxInt64"},
+		{"balancer/listvalidity.go", "if b.settings.WatchInterval > 0 && b.mayLackChanges() {", "if false {"},
+		{"balancer/listvalidity.go", "return b.settings.WatchInterval > 0 && now >= b.listCurrentAt+b.settings.ListValidity()", "_ = now; return false"},
 		{"balancer/discovery.go", "max(pollBackoffMin, spread), max(pollBackoffMax, spread)", "max(pollBackoffMin, spread), max(pollBackoffMax, 2*spread)"},
 		{"balancer/discovery.go", "b.nextPollAt = now + int64(b.random()*float64(spread)/2)", "b.nextPollAt = now + spread"},
 		{"internal/gateway/discoverypoll.go", "return trust - maxTransit - min(answerTimeout, openWatchTimeout) - firstWatchWait - answerTimeout", "_ = trust; return 7500 * time.Millisecond"},
 		{"internal/gateway/discoverypoll.go", "openWatchTimeout = 1500 * time.Millisecond", "openWatchTimeout = 2500 * time.Millisecond"}}},
 	{"a stale list is used", "drain", []uint64{2, 5}, mutantDuration, []change{
-		{"balancer/discovery.go", "return now >= b.ListValidUntil() }", "_ = now; return false }"},
-		{"balancer/discovery.go", "return max(b.listCurrentAt, b.unavailableAt) + b.settings.ListValidity()", "return math.MaxInt64"},
-		{"balancer/discovery.go", "return b.settings.WatchInterval > 0 && now >= b.listCurrentAt+b.settings.ListValidity()", "_ = now; return false"}}},
+		{"balancer/listvalidity.go", "return now >= b.ListValidUntil() }", "_ = now; return false }"},
+		{"balancer/listvalidity.go", "return max(b.listCurrentAt, b.unavailableAt, b.unreachableAt) + b.settings.ListValidity()", "return math.MaxInt64"},
+		{"balancer/listvalidity.go", "if b.settings.WatchInterval > 0 && b.mayLackChanges() {", "if false {"},
+		{"balancer/listvalidity.go", "return b.settings.WatchInterval > 0 && now >= b.listCurrentAt+b.settings.ListValidity()", "_ = now; return false"}}},
 	{"drains of the list are ignored", "drain", []uint64{1, 2}, mutantDuration, []change{
 		{"internal/endpoint/replica.go", "State:     r.State(),", "State:     balancer.EndpointReady,"},
 		{"internal/endpoint/replica.go", "return r.accepting == nil || r.accepting.Load()", "return true"}}},
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -26,6 +26,7 @@
 	}
 	attempt := l.requests.StartAttempt(r, replica, l.now, timeoutAt)
 	attempt.Cause, attempt.Basis = attemptCause(r), l.attemptBasis(r, to)
+	attempt.EntryValidUntil = l.balancer.EntryValidUntil(to)
 	l.recordReportAge(attempt.Basis.ReportAge)
 	if !l.accounting.chargeAttempt(l.now, attempt) {
 		attempt.Cancel()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,7 +79,7 @@
 	if !x.lease.isHolder() || attempt.Request.ClientDisconnected() || attempt.Ctx.Err() != nil {
 		return balancer.Cancelled
 	}
-	if !x.gateway.acceptsWork(attempt.Replica) { // ejected or draining since the dispatch
+	if !x.gateway.acceptsWork(attempt) { // ejected or draining since the dispatch
 		reusable = true
 		return balancer.NotSent
 	}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -14,10 +14,6 @@
 	"archknot/internal/httpwire"
 )
 
-// startupCallWindow is the time after the process's start within which its first call to
-// discovery counts as made at the start.
-const startupCallWindow = time.Second
-
 // errUnavailable marks a call that discovery answered with 503: it serves no calls.
 var errUnavailable = errors.New("discovery answered with status 503")
 
@@ -27,8 +23,7 @@
 	addr                 string
 	generation           int64 // of the list in force; httpwire.NoGeneration: the next call requests the full list
 	lastCallAnswered     bool  // discovery answered the last call, and so serves the next one without a queue
-	hasCalled            bool  // a call has been made
-	noChangeMissed       bool  // since its last answer, or the start, discovery was watched or could not be reached
+	noChangeMissed       bool  // since its last answer, or the first call to it, discovery was watched or could not be reached
 	onlyExplicitFailures bool  // as noChangeMissed, but discovery may also have ended first calls itself after a wait
 }
 
@@ -36,13 +31,10 @@
 // fails; then the module decides when to poll again. A move cancels the call at the old
 // address, and the new one is polled at once.
 func (g *Gateway) watchDiscovery(ctx context.Context) {
-	w := discoveryWatch{gateway: g, addr: g.options.Discovery, generation: g.options.CachedList.Generation, onlyExplicitFailures: true}
-	started := time.Now()
+	w := discoveryWatch{gateway: g, addr: g.options.Discovery, generation: g.options.CachedList.Generation, noChangeMissed: true, onlyExplicitFailures: true}
 	for {
 		select {
 		case <-g.loop.pollRequests:
-			w.noChangeMissed = w.noChangeMissed || !w.hasCalled && time.Since(started) < startupCallWindow
-			w.hasCalled = true
 		case newAddr := <-g.discoveryMoves:
 			w.moveTo(newAddr)
 		case <-ctx.Done():
@@ -67,10 +59,11 @@
 		switch {
 		case outcome == pollMoved:
 			w.moveTo(newAddr)
-		case outcome == pollTimedOut && !previousTimedOut:
+		case outcome == pollTimedOut && !previousTimedOut && (!poll.first || !g.options.Settings.LocalDiscovery):
 			// Discovery accepted the call and did not answer within the timeout. By now it
 			// counts changes that the gateway missed as notified, so the gateway polls again at
 			// once, but only once. All gateways' polls are as spread out as their watches were.
+			// An agent on this machine answers a first call at once or not at all.
 			previousTimedOut = true
 			poll.log(ctx, slog.LevelWarn, "discovery_silent", "err", err)
 		case err != nil:
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -250,9 +250,9 @@
 	}
 }
 
-// publishListExpiry publishes until when the attempts' goroutines may use the list.
+// publishListExpiry publishes until when the attempts' goroutines may use the list for all replicas.
 func (l *eventLoop) publishListExpiry() {
-	l.gateway.listValidUntil.Store(l.balancer.ListValidUntil())
+	l.gateway.listValidUntil.Store(l.balancer.CompleteListValidUntil())
 }
 
 // updateReady makes the gateway ready once a replica can take work. The cached list is
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -8,7 +8,7 @@
 
 	"archknot/internal/adminapi"
 	"archknot/internal/controlstats"
-	"archknot/internal/endpoint"
+	"archknot/internal/inflight"
 	"archknot/internal/maintenance"
 )
 
@@ -171,11 +171,15 @@
 	}
 }
 
-// acceptsWork reports whether a replica may get new work now. It is called right before an
-// attempt is sent; any goroutine may call it.
-func (g *Gateway) acceptsWork(replica *endpoint.Replica) bool {
-	id := replica.Endpoint.ID
-	return g.clock.now() < g.listValidUntil.Load() && replica.Accepting() && (g.options.Orders == nil || !g.options.Orders.Ejected(id) && !g.pendingEjections.has(id))
+// acceptsWork reports whether the replica of an attempt may get new work now. It is called right
+// before the attempt is sent; any goroutine may call it.
+func (g *Gateway) acceptsWork(attempt *inflight.Attempt) bool {
+	listValidUntil := max(g.listValidUntil.Load(), attempt.EntryValidUntil)
+	if g.clock.now() >= listValidUntil || !attempt.Replica.Accepting() {
+		return false
+	}
+	id := attempt.Replica.Endpoint.ID
+	return g.options.Orders == nil || !g.options.Orders.Ejected(id) && !g.pendingEjections.has(id)
 }
 
 // ejectionsChanged is posted when operators have ejected or reinstated replicas.
--- a/internal/inflight/request.go
+++ b/internal/inflight/request.go
@@ -97,14 +97,16 @@
 	Replica   *endpoint.Replica
 	SentAt    balancer.Micros
 	TimeoutAt balancer.Micros
-	Ctx       context.Context
-	Cancel    context.CancelFunc
-	Events    chan []byte // the response stream as it arrives; closed at its end
-	Complete  bool        // the stream arrived up to its last chunk; set before Events is closed
-	Charge    contract.Charge
-	NeverRan  bool   // the replica did not run the attempt; set when it ends
-	Cause     string // "first", "retry" or "hedge", for the log
-	Basis     Basis  // for the log
+	// EntryValidUntil is the time until which it may be written according to the endpoint list at its dispatch.
+	EntryValidUntil balancer.Micros
+	Ctx             context.Context
+	Cancel          context.CancelFunc
+	Events          chan []byte // the response stream as it arrives; closed at its end
+	Complete        bool        // the stream arrived up to its last chunk; set before Events is closed
+	Charge          contract.Charge
+	NeverRan        bool   // the replica did not run the attempt; set when it ends
+	Cause           string // "first", "retry" or "hedge", for the log
+	Basis           Basis  // for the log
 
 	ended bool
 }
--- a/internal/lifecycle/nodeconfig_test.go
+++ b/internal/lifecycle/nodeconfig_test.go
@@ -192,6 +192,13 @@
 			}
 		}
 	}
+	for _, grace := range []balancer.Micros{0, 1_000_000, 1_500_000, 2_500_000} { // with an agent on this machine
+		s := balancer.Settings{Gateways: 3, DrainGrace: grace, LocalDiscovery: true}
+		watchWait, responseTimeout := watchTimeouts(&s, 10*time.Second)
+		if maxAge := watchWait + watchWait/8 + 2*responseTimeout; maxAge > microseconds(s.ListValidity()) {
+			t.Errorf("grace %d us: a list of the agent is %v old, but expires after %d us", grace, maxAge, s.ListValidity())
+		}
+	}
 	server := &server{config: Config{}}
 	server.config.Gateway.MaxPollInterval = 10 * time.Second
 	server.config.Gateway.Settings.DrainGrace = 2_500_000
--- a/internal/lifecycle/transportsettings.go
+++ b/internal/lifecycle/transportsettings.go
@@ -33,10 +33,14 @@
 
 // Bounds of the calls to discovery, see watchTimeouts.
 const (
-	localWatchWait       = time.Second
-	localResponseTimeout = 500 * time.Millisecond
-	maxResponseTimeout   = 2500 * time.Millisecond
-	minWatchWait         = time.Second
+	maxLocalWatchWait       = time.Second
+	maxLocalResponseTimeout = 500 * time.Millisecond
+	maxResponseTimeout      = 2500 * time.Millisecond
+	minWatchWait            = time.Second
+	// localWatchWaitDivisor and localResponseDivisor leave time, while the list is valid, for a call to the agent
+	// that is not answered and for the next one.
+	localWatchWaitDivisor = 3
+	localResponseDivisor  = 5
 	// watchIntervalPerGateway limits the watch calls of all gateways to 4 per second, within the other bounds.
 	watchIntervalPerGateway = 250 * time.Millisecond
 )
@@ -91,7 +95,8 @@
 // longer the response may take. An unresponsive watch is detected after the sum of both.
 func watchTimeouts(s *balancer.Settings, maxPollInterval time.Duration) (watchWait, responseTimeout time.Duration) {
 	if s.LocalDiscovery { // the agent is on this machine, and its responses cost nothing
-		return localWatchWait, localResponseTimeout
+		validity := microseconds(s.ListValidity())
+		return min(maxLocalWatchWait, validity/localWatchWaitDivisor), min(maxLocalResponseTimeout, validity/localResponseDivisor)
 	}
 	// Longer than calls wait in discovery's queue: a call that times out earlier loses its place and
 	// must queue again.
--- a/internal/replay/names.go
+++ b/internal/replay/names.go
@@ -238,7 +238,8 @@
 }
 
 func listKindName(k uint32) string {
-	return [...]string{"delta", "full", "saved", "failed", "unknown"}[min(k, 4)]
+	names := [...]string{"delta", "full", "saved", "failed", "unreachable", "override", "unavailable", "unknown"}
+	return names[min(int(k), len(names)-1)]
 }
 
 func endpointStateName(s uint32) string {
