After a move of discovery the list may lack changes, and proven replicas serve on

Seen by callers: SIGHUP moves discovery, and the new address does not answer.

Cause: moveTo kept what was known of the old address (noChangeMissed), and a call that it cut counted as a gap that only an answer ends.

Change: a move is reported to the balancer (ListGap). From then on the list may lack changes, as after a start, and the same rule holds: all replicas for ListValidity, then those that have accepted work while discovery could not be reached.

--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -38,9 +38,13 @@
 // ListChanged handles an endpoint list or a failed call to discovery. A replica that the list
 // shows as draining or removed gets no new attempt from this call on.
 func (b *Balancer) ListChanged(now Micros, list EndpointList) {
-	if list.Kind.Failed() {
+	switch {
+	case list.Kind.Failed():
 		b.pollFailed(now, list)
 		return
+	case list.Kind == ListGap:
+		b.recordGap(now)
+		return
 	}
 	firstList := !b.listReceived
 	if list.Kind.FromDiscovery() {
--- a/balancer/listvalidity.go
+++ b/balancer/listvalidity.go
@@ -32,6 +32,8 @@
 	// unavailableAt is the start of the last call to which discovery answered that it serves
 	// no list, because it is down or overloaded.
 	unavailableAt Micros
+	// gapAt is the last ListGap that discovery has not answered yet; 0: there is none.
+	gapAt Micros
 	// unreachableSince and unreachableAt are the starts of the first and of the last call that
 	// found discovery unreachable while changes of before may be missing; 0: there is none.
 	unreachableSince, unreachableAt Micros
@@ -75,14 +77,20 @@
 func timeOfCall(now, asOf Micros) Micros { return min(now, cmp.Or(asOf, now)) }
 
 // mayLackChanges reports whether the list may lack changes that no later failure of discovery can
-// rule out: it is a stored one that discovery has not answered for yet.
-func (v *listValidity) mayLackChanges() bool { return !v.listReceived }
+// rule out: it is a stored one that discovery has not answered for yet, or there was a ListGap.
+func (v *listValidity) mayLackChanges() bool { return !v.listReceived || v.gapAt > 0 }
+
+// recordGap records that the list may lack changes of before now, until discovery answers.
+func (b *Balancer) recordGap(now Micros) {
+	b.gapAt, b.unreachableSince, b.unreachableAt = now, 0, 0
+	b.forgetAcceptance()
+}
 
 // recordAnswered records that discovery has answered with all changes up to asOf; 0: now.
 func (b *Balancer) recordAnswered(now, asOf Micros) {
 	b.recordListCurrent(now, asOf)
 	if b.mayLackChanges() {
-		b.listReceived, b.unreachableSince, b.unreachableAt = true, 0, 0
+		b.listReceived, b.gapAt, b.unreachableSince, b.unreachableAt = true, 0, 0, 0
 		b.forgetAcceptance()
 	}
 }
@@ -97,7 +105,7 @@
 // turns new work away, so this one was not draining when the attempt was sent. It is recorded only
 // while the list may lack changes; otherwise the list shows which replicas drain.
 func (b *Balancer) recordAccepted(a *attempt) {
-	if b.mayLackChanges() {
+	if b.mayLackChanges() && a.sentAt >= b.gapAt {
 		a.row.acceptedAt = max(a.row.acceptedAt, a.sentAt)
 	}
 }
--- a/balancer/listvalidity_test.go
+++ b/balancer/listvalidity_test.go
@@ -43,6 +43,10 @@
 				if until := b.EntryValidUntil(accepting); b.EntryValidUntil(accepting%4+1) != expired || (until > expired) != serves {
 					t.Errorf("the entry of %d is valid until %d, others until %d", accepting, until, expired)
 				}
+				b.ListChanged(expired, EndpointList{Kind: ListGap})
+				if to, _ := dispatchedIfChecksPass(b, rec, expired, 20); to != 0 {
+					t.Errorf("after another gap dispatched to %d", to)
+				}
 				b.ListChanged(expired, EndpointList{Kind: ListDelta})
 				if to, _ := dispatchedIfChecksPass(b, rec, expired, 21); to == 0 {
 					t.Error("no dispatch after an answer of discovery")
--- a/balancer/snapshot.go
+++ b/balancer/snapshot.go
@@ -157,6 +157,7 @@
 	// warming replicas (before 1.4) and demand for warming replicas (1.5).
 	a.skip(7, 9, 24, 25, 29, 30)
 	integer(a, 31, &b.unavailableAt)
+	integer(a, 32, &b.gapAt)
 	integer(a, 33, &b.unreachableSince)
 	integer(a, 34, &b.unreachableAt)
 	sortedMap(a, 26, &b.zones.Zones, archiveZone)
--- a/cmd/archknot/fakediscovery_test.go
+++ b/cmd/archknot/fakediscovery_test.go
@@ -81,6 +81,15 @@
 	return text
 }
 
+// copyEntries publishes the entries of another discovery.
+func (d *fakeDiscovery) copyEntries(from *fakeDiscovery) {
+	from.mu.Lock()
+	defer from.mu.Unlock()
+	for _, id := range from.order {
+		d.publish(id, from.entries[id])
+	}
+}
+
 // setFault sets the state of the service, for open calls as well as new ones.
 func (d *fakeDiscovery) setFault(fault discoveryFault) {
 	d.mu.Lock()
--- a/cmd/archknot/missedchanges_test.go
+++ b/cmd/archknot/missedchanges_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"fmt"
+	"os"
 	"syscall"
 	"testing"
 	"time"
 )
 
-// Tests of changes of the endpoint list that a gateway cannot have: they were made before its process began, and
-// discovery fails from then on.
+// Tests of changes of the endpoint list that a gateway cannot have: they were made before its process began or at an
+// address of discovery that it moves to, and discovery fails from then on.
 
 const (
 	// listOutage is how long discovery fails. It is longer than propagationLimit and any grace.
 	listOutage = 12 * time.Second
+	// moveLimit is the time after SIGHUP from which changes at a new address of discovery count as known.
+	moveLimit = 4 * time.Second
 	// upgradeLimit is the time after an upgraded process is ready from which changes count as known.
 	upgradeLimit = 2 * time.Second
 	// socketAllowance is what the protocol adds to each time limit for sockets.
@@ -67,6 +70,16 @@
 	d.discovery.setFault(d.source.outage)
 }
 
+// moveDiscovery writes another address of discovery to the configuration of a running process, and reloads it.
+func (d *missedChangeDeployment) moveDiscovery(p *gatewayProcess, addr string) {
+	d.t.Helper()
+	d.discoverAt = addr
+	if err := os.WriteFile(p.configPath, []byte(d.platformConfig(p.adminAddr)), 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	p.signal(d.t, syscall.SIGHUP)
+}
+
 // missedChangeCase is a way in which a gateway comes to lack a drain. play returns when the drain counts as known.
 type missedChangeCase struct {
 	name   string
@@ -96,12 +109,38 @@
 	return time.Now().Add(upgradeLimit)
 }
 
+// move makes the gateway follow another discovery, which has the drain and fails. Discovery fails at the old address
+// too if failsBefore is set.
+func move(failsBefore bool) func(d *missedChangeDeployment, p *gatewayProcess) time.Time {
+	return func(d *missedChangeDeployment, p *gatewayProcess) time.Time {
+		if failsBefore {
+			d.discovery.setFault(d.source.outage)
+			time.Sleep(time.Second)
+		}
+		next := newFakeDiscovery(d.t)
+		next.copyEntries(d.discovery)
+		next.publish(d.draining.id, endpointJSON(d.draining.id, d.draining.addr, "draining", ""))
+		next.setFault(d.source.outage)
+		d.draining.declines.Store(true)
+		moved := time.Now()
+		d.moveDiscovery(p, next.addr)
+		if d.source.mode == polledLists.mode {
+			return moved.Add(propagationLimit)
+		}
+		return moved.Add(moveLimit)
+	}
+}
+
 var missedChangeCases = []missedChangeCase{
 	{"pushed, restart", pushedLists, restart(syscall.SIGTERM)},
 	{"pushed, kill", pushedLists, restart(syscall.SIGKILL)},
 	{"pushed, upgrade", pushedLists, replaceProcess},
+	{"pushed, move", pushedLists, move(false)},
+	{"pushed, move in an outage", pushedLists, move(true)},
 	{"polled, restart", polledLists, restart(syscall.SIGTERM)},
 	{"polled, kill", polledLists, restart(syscall.SIGKILL)},
+	{"polled, move", polledLists, move(false)},
+	{"polled, move in an outage", polledLists, move(true)},
 	{"polled, restart, 503 behind a queue", busyPolls, restart(syscall.SIGTERM)},
 }
 
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -36,7 +36,7 @@
 		select {
 		case <-g.loop.pollRequests:
 		case newAddr := <-g.discoveryMoves:
-			w.moveTo(newAddr)
+			w.moveTo(ctx, newAddr)
 		case <-ctx.Done():
 			return
 		}
@@ -58,7 +58,7 @@
 		w.noChangeMissed = w.lastCallAnswered || w.noChangeMissed && w.missesNoChange(&poll, err)
 		switch {
 		case outcome == pollMoved:
-			w.moveTo(newAddr)
+			w.moveTo(ctx, newAddr)
 		case outcome == pollTimedOut && !previousTimedOut && (!poll.first || !g.options.Settings.LocalDiscovery):
 			// Discovery accepted the call and did not answer within the timeout. By now it
 			// counts changes that the gateway missed as notified, so the gateway polls again at
@@ -142,11 +142,14 @@
 }
 
 // moveTo switches to another address of discovery. Generations cannot be compared between
-// addresses, so the next call requests the full list.
-func (w *discoveryWatch) moveTo(addr string) {
+// addresses, so the next call requests the full list. What discovery at the new address has may
+// be newer, so the list may lack changes until it answers.
+func (w *discoveryWatch) moveTo(ctx context.Context, addr string) {
 	w.gateway.discovery.pool.CloseIdle(w.addr)
 	slog.Info("discovery_moved", "from", w.addr, "to", addr)
 	w.addr, w.generation = addr, httpwire.NoGeneration
+	w.noChangeMissed, w.onlyExplicitFailures = true, true
+	w.gateway.loop.post(ctx, listGap{})
 }
 
 // pollList makes one call. A move ends it early; then next is the new address.
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -180,6 +180,14 @@
 	close(e.handled)
 }
 
+// listGap is posted when changes of the list may have been missed, until discovery answers.
+type listGap struct{}
+
+func (listGap) apply(l *eventLoop) {
+	l.module.ListChanged(l.now, balancer.EndpointList{Kind: balancer.ListGap})
+	l.publishListExpiry()
+}
+
 // loadCachedList applies the list from the configuration, before discovery has answered.
 func (l *eventLoop) loadCachedList(list httpwire.EndpointList) {
 	l.applyList(list, balancer.ListCached, l.now)
--- a/internal/replay/names.go
+++ b/internal/replay/names.go
@@ -238,7 +238,7 @@
 }
 
 func listKindName(k uint32) string {
-	names := [...]string{"delta", "full", "saved", "failed", "unreachable", "override", "unavailable", "unknown"}
+	names := [...]string{"delta", "full", "saved", "failed", "unreachable", "override", "unavailable", "gap", "unknown"}
 	return names[min(int(k), len(names)-1)]
 }
 
