A stored list is dated by the process's start, and earlier where it replaces another

Seen by callers: a gateway with polled lists is upgraded into an outage. The old process had a drain, the new one starts with a list of before: 1310 attempts at the draining replica, the last 6.6 s past the limit (2 s after the yes, and the grace).

Cause: a stored list was dated by the start of the event loop and used for 6 s and the grace from then on, whoever ran before. And the loop starts late where a start waits for a store (1 s for that of contracts); with pushed lists changes count as known from the process's first moment.

Change: the stored list is dated by when the process began, and 4 s earlier if a predecessor runs beside it and lists are polled. Such a process polls at once, not in the fleet's turn of up to 8 s, since its list expires after 4.2 s (with a grace of 2.5 s).

TestStoredListIsDated.

--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -47,9 +47,12 @@
 		return
 	}
 	firstList := !b.listReceived
-	if list.Kind.FromDiscovery() {
+	switch {
+	case list.Kind.FromDiscovery():
 		b.watching, b.pollBackoff, b.nextPollAt = true, 0, 0
 		b.recordAnswered(now, list.AsOf)
+	case list.Kind == ListCached:
+		b.recordStoredList(now, list.AsOf)
 	}
 	if list.Kind.Complete() {
 		b.markAbsentRemoved(list.Endpoints)
--- a/balancer/listvalidity.go
+++ b/balancer/listvalidity.go
@@ -13,6 +13,9 @@
 	// maxNotificationDelay is the time after which a gateway counts as notified of a change of
 	// the list, even if its calls fail. It starts when discovery has the change and is reachable.
 	maxNotificationDelay Micros = 6_000_000
+	// upgradeNotificationDelay is the time, counted from when it is ready, after which a process that replaces a
+	// running one counts as notified of the changes that the other had.
+	upgradeNotificationDelay Micros = 2_000_000
 	// writeDelay is the longest time between the decision for an attempt and its write to the
 	// connection. Half of it allows for a pause between reading the clock and writing.
 	writeDelay Micros = 300_000
@@ -50,6 +53,20 @@
 	return maxNotificationDelay + grace
 }
 
+// StoredListAge returns how old a stored list counts as when a process starts with it. replacesProcess reports that
+// another process of the same gateway still runs.
+func (s *Settings) StoredListAge(replacesProcess bool) Micros {
+	if replacesProcess && !s.LocalDiscovery {
+		return maxNotificationDelay - upgradeNotificationDelay
+	}
+	return 0
+}
+
+// recordStoredList records that a stored list counts as current up to asOf; 0: now.
+func (v *listValidity) recordStoredList(now, asOf Micros) {
+	v.listCurrentAt = min(v.listCurrentAt, timeOfCall(now, asOf))
+}
+
 // recordListCurrent records that the list includes all changes up to asOf; 0: now.
 func (v *listValidity) recordListCurrent(now, asOf Micros) {
 	v.listCurrentAt = max(v.listCurrentAt, timeOfCall(now, asOf))
--- a/balancer/listvalidity_test.go
+++ b/balancer/listvalidity_test.go
@@ -2,6 +2,23 @@
 
 import "testing"
 
+// A stored list is used for as long as its date allows, which may be before the Balancer's start.
+func TestStoredListIsDated(t *testing.T) {
+	s := largeFleetSettings()
+	s.WatchInterval, s.DrainGrace = second, 2_500_000
+	b, err := New(s, 7, &recorder{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(100 * second)
+	age := s.StoredListAge(true)
+	b.ListChanged(100*second, EndpointList{Kind: ListCached, Endpoints: fleet(2), AsOf: 100*second - age})
+	// Changes count as known two seconds after the start, and the grace ends 2.5 s later.
+	if until := b.EntryValidUntil(1); until != 104_200_000 {
+		t.Errorf("used until %d", until)
+	}
+}
+
 // startWithStoredList returns a Balancer that was started with a stored list of four replicas at 100 s. A call to
 // discovery that began at 100.1 s has failed with the given kind.
 func startWithStoredList(t *testing.T, s Settings, kind ListKind) (*Balancer, *recorder) {
--- a/cmd/archknot/missedchanges_test.go
+++ b/cmd/archknot/missedchanges_test.go
@@ -139,6 +139,7 @@
 	{"pushed, move in an outage", pushedLists, move(true)},
 	{"polled, restart", polledLists, restart(syscall.SIGTERM)},
 	{"polled, kill", polledLists, restart(syscall.SIGKILL)},
+	{"polled, upgrade", polledLists, replaceProcess},
 	{"polled, move", polledLists, move(false)},
 	{"polled, move in an outage", polledLists, move(true)},
 	{"polled, restart, 503 behind a queue", busyPolls, restart(syscall.SIGTERM)},
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -28,10 +28,13 @@
 }
 
 // watchDiscovery polls discovery when the module requests it, and repeatedly until a poll
-// fails; then the module decides when to poll again. A move cancels the call at the old
-// address, and the new one is polled at once.
+// fails; then the module decides when to poll again. A process that replaces another one polls at
+// once. A move cancels the call at the old address, and the new one is polled at once.
 func (g *Gateway) watchDiscovery(ctx context.Context) {
 	w := discoveryWatch{gateway: g, addr: g.options.Discovery, generation: g.options.CachedList.Generation, noChangeMissed: true, onlyExplicitFailures: true}
+	if g.replacesProcess { // the changes that the other process has count as known soon
+		w.follow(ctx)
+	}
 	for {
 		select {
 		case <-g.loop.pollRequests:
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -190,13 +190,23 @@
 
 // loadCachedList applies the list from the configuration, before discovery has answered.
 func (l *eventLoop) loadCachedList(list httpwire.EndpointList) {
-	l.applyList(list, balancer.ListCached, l.now)
+	l.applyList(list, balancer.ListCached, l.cachedListAsOf())
 	if len(list.Endpoints) > 0 {
 		l.logList(list, balancer.ListCached)
 	}
 	l.updateReady()
 }
 
+// cachedListAsOf returns the time up to which the list from the configuration counts as current.
+func (l *eventLoop) cachedListAsOf() balancer.Micros {
+	options := &l.gateway.options
+	asOf := l.now
+	if !options.StartedAt.IsZero() {
+		asOf = l.gateway.clock.readingAgo(time.Since(options.StartedAt))
+	}
+	return asOf - options.Settings.StoredListAge(l.gateway.replacesProcess)
+}
+
 // receiveList applies a list or a change from discovery itself.
 func (l *eventLoop) receiveList(list httpwire.EndpointList, kind balancer.ListKind, asOf balancer.Micros) {
 	l.applyList(list, kind, asOf)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	// replicas cannot exhaust its connections.
 	pool              *connpool.Pool
 	discovery         pooledClient
+	replacesProcess   bool         // another process of this gateway was running at the start
 	discoveryMoves    chan string  // discovery's new address; only the latest is kept
 	discoveryAnswered atomic.Bool  // discovery itself has answered a poll
 	listValidUntil    atomic.Int64 // the clock's reading from which the list is too old for new attempts
@@ -94,6 +95,7 @@
 		watchWait:        options.WatchWait,
 		discoveryTimeout: options.DiscoveryTimeout,
 	})
+	g.replacesProcess = g.hasPredecessor()
 	g.clients = newClientTracker(options.MaxClientConns, options.OverflowConns, g.clock)
 	var err error
 	if g.loop, err = newEventLoop(g); err != nil {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -19,6 +19,7 @@
 	Seed       uint64 // of the decision module's random draws
 	Settings   balancer.Settings
 	CachedList httpwire.EndpointList // the last known endpoint list, possibly outdated
+	StartedAt  time.Time             // when the process started; zero: now
 
 	MaxInFlight            int   // requests in flight at once
 	MaxClientConns         int   // client connections at once
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -23,6 +23,9 @@
 	"archknot/internal/xdsclient"
 )
 
+// processStartedAt is when the process began to initialize its packages.
+var processStartedAt = time.Now()
+
 // startupPagesDelay is the time after the start at which memory pages that only startup needs are released.
 const startupPagesDelay = 1500 * time.Millisecond
 
@@ -132,6 +135,7 @@
 // newGateway completes the gateway's options, applies the limits of the runtime, and creates the gateway.
 func (s *server) newGateway() error {
 	o := &s.config.Gateway
+	o.StartedAt = processStartedAt
 	o.SharedListener = s.config.ListenFD > 0
 	o.Contracts = contractOptions(s.fileSettings)
 	o.Capture = captureOptions(o.Name, s.fileSettings)
