--- a/cmd/archknot/unseendrain_test.go
+++ b/cmd/archknot/unseendrain_test.go
@@ -66,3 +66,31 @@
 		return change
 	})
 }
+
+// Guards against requests to a draining replica that nothing shows to the gateway: the watch of an agent is broken while
+// the agent has the drain, and the agent fails before the gateway has detected that; or the gateway is restarted into an
+// outage, and the replica takes work while it drains.
+func TestDrainIsHeldWhereNothingShowsIt(t *testing.T) {
+	for name, play := range map[string]func(d *missedChangeDeployment, p *gatewayProcess) (knownFrom time.Time){
+		"broken watch of an agent": func(d *missedChangeDeployment, _ *gatewayProcess) time.Time {
+			d.discovery.silenceOpenCalls()
+			d.draining.declines.Store(true)
+			d.drain()
+			knownFrom := time.Now()
+			time.Sleep(100 * time.Millisecond)
+			d.discovery.setFault(d.source.outage)
+			return knownFrom
+		},
+		"restart, replica that takes work": func(d *missedChangeDeployment, p *gatewayProcess) time.Time {
+			knownFrom := restart(syscall.SIGTERM)(d, p)
+			d.draining.declines.Store(false)
+			return knownFrom
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newMissedChangeDeployment(t, pushedLists)
+			d.playOutage(play)
+		})
+	}
+}
