gateway: the endpoint tracker has a file of its own, apart from the list's events

endpoints.go had both the tracker (discovery's list with this gateway's exclusions) and the events that the loop applies. Moved, nothing changed; a mutant of the soak follows the file.

--- a/internal/faulttest/soak_test.go
+++ b/internal/faulttest/soak_test.go
@@ -126,7 +126,7 @@
 
 var mutants = []mutant{
 	{"ejections are ignored", "drain", []uint64{1, 2}, mutantDuration, []change{
-		{"internal/gateway/endpoints.go", "return ejected || t.drainMarks[id]", "_ = ejected; return t.drainMarks[id]"},
+		{"internal/gateway/endpointtracker.go", "return ejected || t.drainMarks[id]", "_ = ejected; return t.drainMarks[id]"},
 		{"internal/gateway/orders.go", "return g.options.Orders == nil || !g.options.Orders.Ejected(id) && !g.pendingEjections.has(id)", "return id != \"\""}}},
 	{"a drained gateway keeps its clients", "drained", []uint64{1, 2}, mutantDuration, []change{
 		{"internal/gateway/drain.go", "return t.drainedAt.Load() > 0 || t.shutdownAt.Load() > 0", "return t.shutdownAt.Load() > 0"}}},
