--- a/cmd/archknot/missedchanges_test.go
+++ b/cmd/archknot/missedchanges_test.go
@@ -24,7 +24,7 @@
 
 // missedChangeConfigFormat is the configuration of a gateway that starts with a stored list.
 const missedChangeConfigFormat = `{"name":"g","listen":"%s","discovery":"%s","admin":"%s","known":%s,"limits":{"cores":1,"memory_mb":64,"sockets":512},
- "settings":{"nInstances":%d,"selfIndex":0,"discovery":"%s","zone":"a","zones":["a"],"kinds":["m"],"feedback":{"via":"inline","names":["busy_reqs","cpu_share"]},
+ "settings":{"nInstances":%d,"selfIndex":%d,"discovery":"%s","zone":"a","zones":["a"],"kinds":["m"],"feedback":{"via":"inline","names":["busy_reqs","cpu_share"]},
   "limits":{"maxAttempts":3,"connIdleUs":60000000,"connectTimeoutUs":50000,"mostHeld":2000,"mayProbe":true,"cancelling":true,"secondCopies":true},
   "rules":{"askWithinUs":10000000,"stopSendingWithinUs":%d,"startCapacity":1},
   "requestClasses":[{"name":"chat","targetUs":1000000,"deadlineUs":3000000,"effect":"repeatable","streamed":true}]}}`
@@ -42,6 +42,7 @@
 var (
 	pushedLists = listSource{mode: "pushed", gateways: 3, grace: 1500 * time.Millisecond, outage: discoveryUnresponsive}
 	polledLists = listSource{mode: "on_request", gateways: 3, grace: 2500 * time.Millisecond, restartLimit: propagationLimit, outage: discoveryResets}
+	largeFleet  = listSource{mode: "on_request", gateways: 48, grace: 2500 * time.Millisecond, restartLimit: propagationLimit, outage: discoveryUp}
 	busyPolls   = listSource{mode: "on_request", gateways: 3, grace: 2500 * time.Millisecond, restartLimit: propagationLimit, outage: discoveryBusy}
 )
 
@@ -58,7 +59,7 @@
 	d := &missedChangeDeployment{drainDeployment: newDrainDeployment(t, source.gateways), source: source}
 	d.stored, d.discoverAt = d.discovery.fullList(), d.discovery.addr
 	d.platformConfig = func(adminAddr string) string {
-		return fmt.Sprintf(missedChangeConfigFormat, d.addr, d.discoverAt, adminAddr, d.stored, source.gateways, source.mode, source.grace.Microseconds())
+		return fmt.Sprintf(missedChangeConfigFormat, d.addr, d.discoverAt, adminAddr, d.stored, source.gateways, source.gateways-1, source.mode, source.grace.Microseconds())
 	}
 	return d
 }
@@ -140,6 +141,7 @@
 	{"polled, restart", polledLists, restart(syscall.SIGTERM)},
 	{"polled, kill", polledLists, restart(syscall.SIGKILL)},
 	{"polled, upgrade", polledLists, replaceProcess},
+	{"polled, upgrade in a large fleet, no outage", largeFleet, replaceProcess},
 	{"polled, move", polledLists, move(false)},
 	{"polled, move in an outage", polledLists, move(true)},
 	{"polled, restart, 503 behind a queue", busyPolls, restart(syscall.SIGTERM)},
