Review case 7: after an upgrade operators cannot take out an unlisted replica

Seen: a replica goes off the list while it is restarted, the gateway is upgraded, and operators call disable: 404, though the replica was listed to the old process. When it is back it gets work, 54 to 60 requests later than the call, 1 s and the grace.

--- a/review/7/main.go
+++ b/review/7/main.go
@@ -1,9 +1,10 @@
-// Command 7 is the driver of case 7: at SIGTERM a gateway with peers cuts off requests that nobody else may go on with.
+// Command 7 is the driver of case 7: after an upgrade operators cannot take out a replica that is not listed just then.
 package main
 
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -12,114 +13,113 @@
 )
 
 const (
-	gateways = 2
-	deadline = 8 * time.Second
-	// killAfter is when SIGKILL comes at the earliest: the longest deadline, taken as 3 s where it is longer, and 0.7 s.
-	killAfter = 3700 * time.Millisecond
-	// The replica's part: the first token of a waiting request, and the events of a stream, come so long after the request.
-	firstTokenAfter = 3500 * time.Millisecond
-	eventPause      = 250 * time.Millisecond
-	streamEvents    = 15 // the last one comes 3.5 s after the first one
-	// termAfter is when SIGTERM comes, counted from the requests: all their answers end 2.9 s later at the latest.
-	termAfter = 700 * time.Millisecond
+	replicas = 3
+	clients  = 6
+	// grace is stopSendingWithinUs, callLimit is when a call counts whatever its answer. slack is what the protocol adds
+	// to each time limit; margin is for this measurement.
+	grace     = 2500 * time.Millisecond
+	callLimit = time.Second
+	slack     = 50 * time.Millisecond
+	margin    = 50 * time.Millisecond
+	// readyWithin is how long the new process may take to say yes; killAfter is when SIGKILL follows SIGTERM.
+	readyWithin = 6 * time.Second
+	killAfter   = 3700 * time.Millisecond
+	watchFor    = 10 * time.Second
 )
 
 func main() { rig.Main(run) }
 
 func run(r *rig.Rig) error {
 	fleet := r.NewFleet()
-	var replicas []*rig.Replica
-	for i := range 2 {
-		replica, err := fleet.StartReplica(fmt.Sprintf("s-%d", i+1), answer)
-		if err != nil {
-			return err
-		}
-		replicas = append(replicas, replica)
-	}
-	discovery, err := rig.StartDiscovery(replicas...)
+	discovery, err := startReplicas(fleet)
 	if err != nil {
 		return err
 	}
-	nodes, err := startGateways(r, discovery.Addr)
+	socket, listen, err := rig.ListeningSocket()
 	if err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second) // the gateways get to know each other
-	var clients sync.WaitGroup
-	for i := range 3 {
-		clients.Go(func() { serveClient(r, nodes, fmt.Sprintf("wait-%d", i)) })
-		clients.Go(func() { serveClient(r, nodes, fmt.Sprintf("stream-%d", i)) })
+	start := func(label string) (*rig.Gateway, error) {
+		admin, err := rig.FreePort()
+		if err != nil {
+			return nil, err
+		}
+		g, err := r.Start(rig.GatewayOptions{Name: "g1", Label: label + " process", Listen: listen, Discovery: discovery.Addr,
+			Admin: admin, Socket: socket, Settings: map[string]any{"rules": map[string]any{"stopSendingWithinUs": grace.Microseconds()}}})
+		if err != nil {
+			return nil, err
+		}
+		return g, g.AwaitYes(readyWithin)
+	}
+	g, err := start("first")
+	if err != nil {
+		return err
 	}
-	time.Sleep(termAfter)
+	stop := load(r, g.Listen)
+	defer stop()
+	time.Sleep(2 * time.Second)
+	discovery.Remove(r, "s-1")
+	time.Sleep(2 * time.Second)
 	if r.Trouble {
-		begun := time.Now()
-		nodes[0].Signal(syscall.SIGTERM)
-		if !nodes[0].Ended(killAfter) {
-			r.Logf("%s after SIGTERM:", time.Since(begun).Round(time.Millisecond))
-			nodes[0].Signal(syscall.SIGKILL)
+		old := g
+		if g, err = start("new"); err != nil {
+			return err
+		}
+		old.Signal(syscall.SIGTERM)
+		if !old.Ended(killAfter) {
+			old.Signal(syscall.SIGKILL)
+		}
+	}
+	time.Sleep(time.Second)
+	called := time.Now()
+	status, err := g.Call(http.MethodPut, "/-/replicas/s-1/disable")
+	r.Logf("operators call disable s-1 at the %s: %d, %v", g.Label, status, err)
+	time.Sleep(time.Second)
+	discovery.Return(r, "s-1")
+	time.Sleep(watchFor)
+	stop()
+	for _, a := range fleet.Arrivals() {
+		if limit := called.Add(callLimit + grace + slack + margin); a.Replica == "s-1" && a.At.After(limit) {
+			r.Broken("replica s-1 got %s %d ms after the grace of the call that takes it out (which was answered %d)", a.ID, a.At.Sub(limit).Milliseconds(), status)
 		}
 	}
-	clients.Wait()
 	return nil
 }
 
-// startGateways starts gateways that take over each other's requests.
-func startGateways(r *rig.Rig, discovery string) (nodes []*rig.Gateway, err error) {
-	var peers [gateways]string
-	for i := range peers {
-		if peers[i], err = rig.FreePort(); err != nil {
-			return nil, err
-		}
-	}
-	for i := range peers {
-		node, err := r.Start(rig.GatewayOptions{
-			Name:      fmt.Sprintf("g%d", i+1),
-			Discovery: discovery,
-			Conf:      fmt.Sprintf("[peers]\nlisten %s\nsite here\njoin %s\n", peers[i], peers[1-i]),
-			Settings: map[string]any{
-				"nInstances": gateways, "selfIndex": i,
-				"limits": map[string]any{"secondCopies": false, "peers": true},
-				"extra":  map[string]any{"resume": true},
-				"requestClasses": []any{map[string]any{
-					"name": "entry", "targetUs": 4_000_000, "deadlineUs": deadline.Microseconds(), "points": 2.0, "lateShare": 0.3,
-					"effect": "once", "streamed": true,
-				}},
-			},
+// startReplicas starts the replicas, and a discovery service that lists them.
+func startReplicas(fleet *rig.Fleet) (*rig.Discovery, error) {
+	var all []*rig.Replica
+	for i := range replicas {
+		replica, err := fleet.StartReplica(fmt.Sprintf("s-%d", i+1), func(_ rig.Arrival, w http.ResponseWriter, _ *http.Request) {
+			rig.Stream(w, 10, 30*time.Millisecond, 20, 10)
 		})
 		if err != nil {
 			return nil, err
 		}
-		nodes = append(nodes, node)
+		all = append(all, replica)
 	}
-	for _, node := range nodes {
-		if err := node.AwaitReady(10 * time.Second); err != nil {
-			return nil, err
-		}
-	}
-	return nodes, nil
-}
-
-// answer serves each request whole: one that waits for its first token, or a stream.
-func answer(a rig.Arrival, w http.ResponseWriter, _ *http.Request) {
-	if a.ID[0] == 'w' {
-		time.Sleep(firstTokenAfter)
-		rig.Stream(w, 3, 10*time.Millisecond, 20, 3)
-		return
-	}
-	rig.Stream(w, streamEvents, eventPause, 20, streamEvents)
+	return rig.StartDiscovery(all...)
 }
 
-// serveClient sends a request, and asks the other gateway for the rest if its answer breaks. The request is lost if it
-// gets no whole answer although its replica has served it in time. A failure is an answer, too, but for a stream that
-// has begun it is none.
-func serveClient(r *rig.Rig, nodes []*rig.Gateway, id string) {
-	first := r.Do(nodes[0].Listen, rig.Call{ID: id, Class: "entry", Tenant: "me", Deadline: deadline})
-	if first.Served() || first.Status != 0 && first.Status != http.StatusOK {
-		return
+// load sends requests until stop is called.
+func load(r *rig.Rig, addr string) (stop func()) {
+	done := make(chan struct{})
+	var senders sync.WaitGroup
+	for client := range clients {
+		senders.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				r.Do(addr, rig.Call{ID: fmt.Sprintf("c%d-%d-%d", os.Getpid(), client, i), Class: "chat", Tenant: "me", Deadline: 3 * time.Second})
+			}
+		})
 	}
-	rest := r.Do(nodes[1].Listen, rig.Call{ID: id + "-again", Class: "entry", Tenant: "me", Deadline: deadline,
-		Rest: rig.RestOf(id, 1, first.Body)})
-	if !rest.Served() {
-		r.Broken("%s: the gateway ended the connection itself: %s; asked for the rest: %s", id, first, rest)
+	var once sync.Once
+	return func() {
+		once.Do(func() { close(done) })
+		senders.Wait()
 	}
 }
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -66,19 +66,43 @@
 }
 
 // Drain lists a replica as draining.
-func (d *Discovery) Drain(r *Rig, name string) {
+func (d *Discovery) Drain(r *Rig, name string) { d.change(r, name, "draining") }
+
+// Remove takes a replica off the list.
+func (d *Discovery) Remove(r *Rig, name string) { d.change(r, name, "gone") }
+
+// Return lists a replica as ready again, started just now.
+func (d *Discovery) Return(r *Rig, name string) { d.change(r, name, "ready") }
+
+// change changes the lifecycle of a replica.
+func (d *Discovery) change(r *Rig, name, lifecycle string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.instances = append([]Instance(nil), d.instances...)
 	for i := range d.instances {
-		if d.instances[i].ID == name {
-			d.instances[i].Lifecycle = "draining"
+		if d.instances[i].ID != name {
+			continue
+		}
+		d.instances[i].Lifecycle = lifecycle
+		if lifecycle == "ready" {
+			d.instances[i].StartedAtMs = time.Now().UnixMilli()
 		}
 	}
 	d.generation++
 	close(d.changed)
 	d.changed = make(chan struct{})
-	r.Logf("discovery at %s has: %s is draining", d.Addr, name)
+	r.Logf("discovery at %s has: %s is %s", d.Addr, name, lifecycle)
+}
+
+// listed returns the entries of the whole list, which has no replica that is gone.
+func listed(instances []Instance) []Instance {
+	out := []Instance{}
+	for _, entry := range instances {
+		if entry.Lifecycle != "gone" {
+			out = append(out, entry)
+		}
+	}
+	return out
 }
 
 // CrowdedFor makes all calls fail after a wait, for some time.
@@ -121,7 +145,7 @@
 		}
 	}
 	d.mu.Lock()
-	out := answer{Generation: d.generation, Reset: true, Instances: d.instances}
+	out := answer{Generation: d.generation, Reset: true, Instances: listed(d.instances)}
 	d.mu.Unlock()
 	if since == strconv.Itoa(out.Generation) {
 		out.Reset, out.Instances = false, []Instance{}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -356,6 +356,40 @@
 	return Await(within, g.Label+" is ready", func() bool { return StatusOf("http://"+g.Listen+"/health/ready") == http.StatusOK })
 }
 
+// AwaitYes waits until the process says yes at its second address.
+func (g *Gateway) AwaitYes(within time.Duration) error {
+	return Await(within, g.Label+" says yes", func() bool { return StatusOf("http://"+g.Admin+"/-/ready") == http.StatusOK })
+}
+
+// Call makes an operators' call, over a connection of its own, and returns the status of the answer.
+func (g *Gateway) Call(method, path string) (status int, err error) {
+	request, err := http.NewRequest(method, "http://"+g.Admin+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode, nil
+}
+
+// ListeningSocket returns the platform's listening socket for clients, and its address.
+func ListeningSocket() (socket *os.File, addr string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return nil, "", fmt.Errorf("listener of type %T", listener)
+	}
+	socket, err = tcp.File()
+	return socket, listener.Addr().String(), err
+}
+
 // StatusOf returns the status of a GET over a new connection; 0: none.
 func StatusOf(url string) int {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
