Review case 8: a drained gateway takes clients again after upgrades in a row

Seen: operators drain the gateway and never call it back. After six upgrades in a row it says yes to the front and serves. For up to 0.25 s after the end of an old process nobody owns the hand-off's address; a process that starts then finds no predecessor and ends the drain, for the one before it, too.

--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,10 +1,10 @@
-// Command 8 is the driver of case 8: a repeat of a by_key request is written after the window for repeats.
+// Command 8 is the driver of case 8: a gateway that operators have drained takes clients again after upgrades in a row.
 package main
 
 import (
 	"fmt"
 	"net/http"
-	"sync"
+	"os"
 	"syscall"
 	"time"
 
@@ -12,120 +12,119 @@
 )
 
 const (
-	gateways = 3
-	requests = 16 // half of them at each of two gateways, which is as many as a gateway repeats at once
-	// window is the class's memorySpanUs.
-	window = 2 * time.Second
-	// slack: each time limit is 50 ms longer, and a gateway may be held up for 0.15 s between reading its clock and writing.
-	slack = 200 * time.Millisecond
-	// errorAfter is when the first send of a request ends with an error, counted from its last byte.
-	errorAfter = 1955 * time.Millisecond
-	// freezeAfter is when a gateway's machine falls silent, counted from the first request; cutFor is for how long.
-	freezeAfter = 700 * time.Millisecond
-	cutFor      = 4 * time.Second
+	// upgrades follow one another: each begins when the old process of the one before has ended. SIGTERM reaches the old
+	// process when the new one has said yes, from upgrade to upgrade termStep later, well within the 6 s.
+	upgrades = 6
+	termStep = 45 * time.Millisecond
+	// drainLimit is when a drained gateway may not say yes any more, counted from the call.
+	drainLimit = 4 * time.Second
+	// readyWithin is how long a new process may take to say yes; killAfter is when SIGKILL follows SIGTERM.
+	readyWithin = 6 * time.Second
+	killAfter   = 3700 * time.Millisecond
+	// frontInterval is how often the front asks whether the gateway is ready; watchFor is how long after the upgrades.
+	frontInterval = 100 * time.Millisecond
+	watchFor      = 3 * time.Second
 )
 
 func main() { rig.Main(run) }
 
+// deployment is a gateway whose processes follow one another on a socket that the platform holds.
+type deployment struct {
+	rig       *rig.Rig
+	discovery *rig.Discovery
+	listen    string
+	socket    *os.File
+	number    int
+}
+
 func run(r *rig.Rig) error {
-	fleet := r.NewFleet()
-	var replicas []*rig.Replica
-	for i := range 3 {
-		replica, err := fleet.StartReplica(fmt.Sprintf("s-%d", i+1), answer)
-		if err != nil {
-			return err
-		}
-		replicas = append(replicas, replica)
-	}
-	discovery, err := rig.StartDiscovery(replicas...)
+	d, err := newDeployment(r)
 	if err != nil {
 		return err
 	}
-	nodes, err := startGateways(r, discovery.Addr)
+	g, err := d.start()
 	if err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second) // the gateways get to know each other
-	var clients sync.WaitGroup
-	for i := range requests {
-		clients.Go(func() {
-			r.Do(nodes[i%2].Listen, rig.Call{ID: fmt.Sprintf("case8-%d", i), Class: "entry", Tenant: "me", Deadline: 5 * time.Second})
-		})
-		time.Sleep(20 * time.Millisecond)
+	if err := g.AwaitReady(5 * time.Second); err != nil {
+		return err
+	}
+	called := time.Now()
+	if err := drain(r, g); err != nil {
+		return err
 	}
+	time.Sleep(drainLimit + time.Second)
 	if r.Trouble {
-		time.Sleep(max(0, freezeAfter-requests*20*time.Millisecond))
-		nodes[gateways-1].Signal(syscall.SIGSTOP)
-		time.Sleep(cutFor)
-		nodes[gateways-1].Signal(syscall.SIGCONT)
+		for i := range upgrades {
+			if g, err = d.upgrade(g, time.Duration(i)*termStep); err != nil {
+				return err
+			}
+		}
+	}
+	for range int(watchFor / frontInterval) {
+		time.Sleep(frontInterval) // as often as the front asks
+		if status := rig.StatusOf("http://" + d.listen + "/health/ready"); status == http.StatusOK {
+			r.Broken("drained and not resumed, the gateway says yes to the front %.1f s after the call", time.Since(called).Seconds())
+		}
+	}
+	answer := r.Do(d.listen, rig.Call{ID: fmt.Sprint("late-", os.Getpid()), Class: "chat", Tenant: "me", Deadline: 3 * time.Second})
+	if answer.Served() {
+		r.Broken("drained and not resumed, the gateway serves a new client")
 	}
-	clients.Wait()
-	judge(r, fleet)
 	return nil
 }
 
-// startGateways starts gateways that take over each other's requests.
-func startGateways(r *rig.Rig, discovery string) (nodes []*rig.Gateway, err error) {
-	var peers [gateways]string
-	join := ""
-	for i := range peers {
-		if peers[i], err = rig.FreePort(); err != nil {
-			return nil, err
-		}
-		if i > 0 {
-			join += ","
-		}
-		join += peers[i]
+func newDeployment(r *rig.Rig) (*deployment, error) {
+	replica, err := r.NewFleet().StartReplica("s-1", func(_ rig.Arrival, w http.ResponseWriter, _ *http.Request) {
+		rig.Stream(w, 3, 5*time.Millisecond, 20, 3)
+	})
+	if err != nil {
+		return nil, err
 	}
-	for i := range peers {
-		node, err := r.Start(rig.GatewayOptions{
-			Name:      fmt.Sprintf("g%d", i+1),
-			Discovery: discovery,
-			Conf:      fmt.Sprintf("[peers]\nlisten %s\nsite here\njoin %s\n", peers[i], join),
-			Settings: map[string]any{
-				"nInstances": gateways, "selfIndex": i,
-				"limits": map[string]any{"secondCopies": false, "peers": true},
-				"requestClasses": []any{map[string]any{
-					"name": "entry", "targetUs": 4_000_000, "deadlineUs": 5_000_000, "points": 2.0, "lateShare": 0.3,
-					"effect": "by_key", "group": "all", "memorySpanUs": window.Microseconds(), "streamed": true,
-				}},
-			},
-		})
-		if err != nil {
-			return nil, err
-		}
-		nodes = append(nodes, node)
+	discovery, err := rig.StartDiscovery(replica)
+	if err != nil {
+		return nil, err
 	}
-	for _, node := range nodes {
-		if err := node.AwaitReady(10 * time.Second); err != nil {
-			return nil, err
-		}
+	socket, listen, err := rig.ListeningSocket()
+	return &deployment{rig: r, discovery: discovery, listen: listen, socket: socket}, err
+}
+
+// start starts a process of the gateway, and waits until it says yes at its second address.
+func (d *deployment) start() (*rig.Gateway, error) {
+	admin, err := rig.FreePort()
+	if err != nil {
+		return nil, err
 	}
-	return nodes, nil
+	d.number++
+	g, err := d.rig.Start(rig.GatewayOptions{Name: "g1", Label: fmt.Sprintf("process %d", d.number), Listen: d.listen,
+		Discovery: d.discovery.Addr, Admin: admin, Socket: d.socket})
+	if err != nil {
+		return nil, err
+	}
+	return g, g.AwaitYes(readyWithin)
 }
 
-// answer ends the first send of a request with an error, late but well within the client's deadline. Any further one
-// is served at once.
-func answer(a rig.Arrival, w http.ResponseWriter, _ *http.Request) {
-	if a.Number == 1 {
-		time.Sleep(errorAfter)
-		http.Error(w, "failed", http.StatusInternalServerError)
-		return
+// upgrade starts a process beside the old one, and ends the old one some time after the new one has said yes.
+func (d *deployment) upgrade(old *rig.Gateway, termAfter time.Duration) (*rig.Gateway, error) {
+	g, err := d.start()
+	if err != nil {
+		return nil, err
 	}
-	rig.Stream(w, 3, 10*time.Millisecond, 20, 3)
+	time.Sleep(termAfter)
+	old.Signal(syscall.SIGTERM)
+	if !old.Ended(killAfter) {
+		old.Signal(syscall.SIGKILL)
+		old.Ended(killAfter)
+	}
+	return g, nil
 }
 
-// judge checks that each further send of a request came within the window of its first one.
-func judge(r *rig.Rig, fleet *rig.Fleet) {
-	first := map[string]time.Time{}
-	for _, a := range fleet.Arrivals() {
-		if a.Number == 1 {
-			first[a.ID] = a.At
-			continue
-		}
-		if age := a.At.Sub(first[a.ID]); age > window+slack {
-			r.Broken("send %d of %s came %d ms after the first, which had run; repeats are dropped for %d ms (and %d ms of slack)",
-				a.Number, a.ID, age.Milliseconds(), window.Milliseconds(), slack.Milliseconds())
-		}
+// drain makes the operators' call.
+func drain(r *rig.Rig, g *rig.Gateway) error {
+	status, err := g.Call(http.MethodPut, "/-/drain")
+	r.Logf("operators call drain at %s: %d, %v", g.Label, status, err)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("the drain was answered %d", status)
 	}
+	return err
 }
