A move of discovery: what it has counts as told 4 s after SIGHUP

Cause: ListGap left the list its term of a silent discovery, 6 s and the grace, while the platform counts what a new address has as told 4 s after SIGHUP. Evidence: list_age_ms grew from the old address's last answer, with no step at discovery_moved. The gap now dates a list that is asked for 2 s before the order, which is stamped when the signal arrives; a second move keeps the first one's term.

--- a/balancer/discovery.go
+++ b/balancer/discovery.go
@@ -43,7 +43,7 @@
 		b.pollFailed(now, list)
 		return
 	case list.Kind == ListGap:
-		b.recordGap(now)
+		b.recordGap(now, list.AsOf)
 		return
 	}
 	firstList := !b.listReceived
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -38,7 +38,7 @@
 	ListUnreachable                 // no list: discovery could not be reached at AsOf
 	ListOverride                    // entries changed by an operator, not by discovery
 	ListUnavailable                 // no list: discovery answered the call of AsOf that it serves none
-	ListGap                         // no list: until discovery answers, changes of before now may be missing
+	ListGap                         // no list: until discovery answers, changes of before AsOf may be missing
 )
 
 // Complete reports whether a list of this kind names all replicas.
--- a/balancer/listvalidity.go
+++ b/balancer/listvalidity.go
@@ -13,6 +13,9 @@
 	// maxNotificationDelay is the time after which a gateway counts as notified of a change of
 	// the list, even if its calls fail. It starts when discovery has the change and is reachable.
 	maxNotificationDelay Micros = 6_000_000
+	// moveNotificationDelay is the time, counted from the order to follow discovery at another address, after
+	// which a gateway counts as notified of the changes that were made there before.
+	moveNotificationDelay Micros = 4_000_000
 	// upgradeNotificationDelay is the time, counted from when it is ready, after which a process that replaces a
 	// running one counts as notified of the changes that the other had.
 	upgradeNotificationDelay Micros = 2_000_000
@@ -97,9 +100,13 @@
 // rule out: it is a stored one that discovery has not answered for yet, or there was a ListGap.
 func (v *listValidity) mayLackChanges() bool { return !v.listReceived || v.gapAt > 0 }
 
-// recordGap records that the list may lack changes of before now, until discovery answers.
-func (b *Balancer) recordGap(now Micros) {
+// recordGap records that the list may lack changes of before asOf (0: now), until discovery answers. Where
+// discovery is asked for the list, these changes count as known earlier than those that it gets from now on.
+func (b *Balancer) recordGap(now, asOf Micros) {
 	b.gapAt, b.unreachableSince, b.unreachableAt = now, 0, 0
+	if !b.settings.LocalDiscovery {
+		b.listCurrentAt = min(b.listCurrentAt, timeOfCall(now, asOf)-(maxNotificationDelay-moveNotificationDelay))
+	}
 	b.forgetAcceptance()
 }
 
--- a/balancer/listvalidity_test.go
+++ b/balancer/listvalidity_test.go
@@ -72,3 +72,30 @@
 		}
 	}
 }
+
+// Guards against a move to another discovery that leaves the list its term of before (issue 74, review/6): what the new
+// address has counts as known 4 s after the order, and an agent's list keeps its own, shorter term.
+func TestMoveShortensTheListsTerm(t *testing.T) {
+	for _, c := range []struct {
+		local bool
+		until Micros
+	}{{local: false, until: 108*second + 200_000}, {local: true, until: 104*second + 200_000}} {
+		s := largeFleetSettings()
+		s.WatchInterval, s.DrainGrace, s.LocalDiscovery = second, 2_500_000, c.local
+		b, err := New(s, 7, &recorder{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(100 * second)
+		b.ListChanged(102*second, EndpointList{Kind: ListFull, Endpoints: fleet(4)})
+		b.ListChanged(102*second+second/2, EndpointList{Kind: ListGap, AsOf: 102 * second})
+		b.ListChanged(103*second, EndpointList{Kind: ListGap}) // a second move does not prolong the first one's term
+		if until := b.EntryValidUntil(1); until != c.until {
+			t.Errorf("local %t: used until %d, want %d", c.local, until, c.until)
+		}
+		b.ListChanged(104*second, EndpointList{Kind: ListDelta})
+		if until, want := b.EntryValidUntil(1), 104*second+s.ListValidity(); until != want {
+			t.Errorf("local %t: after an answer used until %d, want %d", c.local, until, want)
+		}
+	}
+}
--- a/cmd/archknot/missedchanges_test.go
+++ b/cmd/archknot/missedchanges_test.go
@@ -125,9 +125,6 @@
 		d.draining.declines.Store(true)
 		moved := time.Now()
 		d.moveDiscovery(p, next.addr)
-		if d.source.mode == polledLists.mode {
-			return moved.Add(propagationLimit)
-		}
 		return moved.Add(moveLimit)
 	}
 }
@@ -144,6 +141,7 @@
 	{"polled, upgrade in a large fleet, no outage", largeFleet, replaceProcess},
 	{"polled, move", polledLists, move(false)},
 	{"polled, move in an outage", polledLists, move(true)},
+	{"polled, move, 503 behind a queue", busyPolls, move(false)}, // issue 74, review/6: a move's limit missing from the list's term
 	{"polled, restart, 503 behind a queue", busyPolls, restart(syscall.SIGTERM)},
 }
 
--- a/internal/gateway/capture_test.go
+++ b/internal/gateway/capture_test.go
@@ -56,7 +56,7 @@
 	}
 	g.discoveryServer.change(listEntry(shedding, "draining"))
 	next := newFakeDiscovery(t, g.discoveryServer.list)
-	g.MoveDiscovery(next.addr)
+	g.MoveDiscovery(next.addr, time.Now())
 	waitUntil(t, "the move", func() bool { return next.callCount() > 0 })
 	s, err := g.SaveIncident(t.Context(), "a test")
 	if err != nil || s.Segments == 0 {
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -27,6 +27,12 @@
 	onlyExplicitFailures bool  // as noChangeMissed, but discovery may also have ended first calls itself after a wait
 }
 
+// discoveryMove is an order to follow discovery at another address.
+type discoveryMove struct {
+	addr      string
+	orderedAt time.Time
+}
+
 // watchDiscovery polls discovery when the module requests it, and repeatedly until a poll
 // fails; then the module decides when to poll again. A process that replaces another one polls at
 // once. A move cancels the call at the old address, and the new one is polled at once.
@@ -38,8 +44,8 @@
 	for {
 		select {
 		case <-g.loop.pollRequests:
-		case newAddr := <-g.discoveryMoves:
-			w.moveTo(ctx, newAddr)
+		case move := <-g.discoveryMoves:
+			w.moveTo(ctx, move)
 		case <-ctx.Done():
 			return
 		}
@@ -52,16 +58,17 @@
 	g := w.gateway
 	for previousTimedOut := false; ; {
 		poll := w.newPoll()
-		list, newAddr, err := g.pollList(ctx, &poll)
-		outcome := poll.outcome(&list, newAddr, err)
+		list, move, err := g.pollList(ctx, &poll)
+		moved := move.addr != ""
+		outcome := poll.outcome(&list, moved, err)
 		g.polls[outcome].Add(1)
 		poll.log(ctx, slog.LevelDebug, "discovery_poll", "outcome", outcome.String())
-		w.lastCallAnswered = err == nil && newAddr == ""
+		w.lastCallAnswered = err == nil && !moved
 		w.onlyExplicitFailures = w.lastCallAnswered || w.onlyExplicitFailures && (w.missesNoChange(&poll, err) || endedByDiscovery(err))
 		w.noChangeMissed = w.lastCallAnswered || w.noChangeMissed && w.missesNoChange(&poll, err)
 		switch {
 		case outcome == pollMoved:
-			w.moveTo(ctx, newAddr)
+			w.moveTo(ctx, move)
 		case outcome == pollTimedOut && !previousTimedOut && (!poll.first || !g.options.Settings.LocalDiscovery):
 			// Discovery accepted the call and did not answer within the timeout. By now it
 			// counts changes that the gateway missed as notified, so the gateway polls again at
@@ -147,16 +154,16 @@
 // moveTo switches to another address of discovery. Generations cannot be compared between
 // addresses, so the next call requests the full list. What discovery at the new address has may
 // be newer, so the list may lack changes until it answers.
-func (w *discoveryWatch) moveTo(ctx context.Context, addr string) {
+func (w *discoveryWatch) moveTo(ctx context.Context, move discoveryMove) {
 	w.gateway.discovery.pool.CloseIdle(w.addr)
-	slog.Info("discovery_moved", "from", w.addr, "to", addr)
-	w.addr, w.generation = addr, httpwire.NoGeneration
+	slog.Info("discovery_moved", "from", w.addr, "to", move.addr)
+	w.addr, w.generation = move.addr, httpwire.NoGeneration
 	w.noChangeMissed, w.onlyExplicitFailures = true, true
-	w.gateway.loop.post(ctx, listGap{})
+	w.gateway.loop.post(ctx, listGap{asOf: w.gateway.clock.readingAgo(time.Since(move.orderedAt))})
 }
 
-// pollList makes one call. A move ends it early; then next is the new address.
-func (g *Gateway) pollList(ctx context.Context, poll *discoveryPoll) (list httpwire.EndpointList, newAddr string, err error) {
+// pollList makes one call. A move ends it early, and is returned; its address is empty if there was none.
+func (g *Gateway) pollList(ctx context.Context, poll *discoveryPoll) (list httpwire.EndpointList, move discoveryMove, err error) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	done := make(chan struct{})
@@ -166,11 +173,11 @@
 	}()
 	select {
 	case <-done:
-	case newAddr = <-g.discoveryMoves:
+	case move = <-g.discoveryMoves:
 		stop()
 		<-done
 	}
-	return list, newAddr, err
+	return list, move, err
 }
 
 // requestList fetches a list. It counts and logs invalid entries and a rejected list.
--- a/internal/gateway/discoverypoll.go
+++ b/internal/gateway/discoverypoll.go
@@ -48,9 +48,9 @@
 }
 
 // outcome returns how the call ended.
-func (p *discoveryPoll) outcome(list *httpwire.EndpointList, newAddr string, err error) pollOutcome {
+func (p *discoveryPoll) outcome(list *httpwire.EndpointList, moved bool, err error) pollOutcome {
 	switch {
-	case newAddr != "":
+	case moved:
 		return pollMoved
 	case p.timedOut(err):
 		return pollTimedOut
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -47,11 +47,11 @@
 	close(e.handled)
 }
 
-// listGap is posted when changes of the list may have been missed, until discovery answers.
-type listGap struct{}
+// listGap is posted when changes of the list from before asOf may have been missed, until discovery answers.
+type listGap struct{ asOf balancer.Micros }
 
-func (listGap) apply(l *eventLoop) {
-	l.module.ListChanged(l.now, balancer.EndpointList{Kind: balancer.ListGap})
+func (e listGap) apply(l *eventLoop) {
+	l.module.ListChanged(l.now, balancer.EndpointList{Kind: balancer.ListGap, AsOf: e.asOf})
 	l.publishListExpiry()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,10 +45,10 @@
 	// replicas cannot exhaust its connections.
 	pool              *connpool.Pool
 	discovery         pooledClient
-	replacesProcess   bool         // another process of this gateway was running at the start
-	discoveryMoves    chan string  // discovery's new address; only the latest is kept
-	discoveryAnswered atomic.Bool  // discovery itself has answered a poll
-	listValidUntil    atomic.Int64 // the clock's reading from which the list is too old for new attempts
+	replacesProcess   bool               // another process of this gateway was running at the start
+	discoveryMoves    chan discoveryMove // only the latest is kept
+	discoveryAnswered atomic.Bool        // discovery itself has answered a poll
+	listValidUntil    atomic.Int64       // the clock's reading from which the list is too old for new attempts
 
 	// Contracts.
 	ledgerWriter *ledger.Writer // nil: balances are not stored
@@ -77,7 +77,7 @@
 	g := &Gateway{
 		options:        options,
 		clock:          newMonotonicClock(),
-		discoveryMoves: make(chan string, 1),
+		discoveryMoves: make(chan discoveryMove, 1),
 		listening:      make(chan struct{}),
 		acceptDone:     make(chan struct{}),
 		orderUpdates:   make(chan struct{}, 1),
@@ -138,15 +138,17 @@
 	return err
 }
 
-// MoveDiscovery switches the gateway to another address of discovery. Requests in flight
-// continue, and the last list stays in force until that address has sent one. Only one
-// goroutine may call it at a time.
-func (g *Gateway) MoveDiscovery(addr string) {
+// MoveDiscovery switches the gateway to another address of discovery, as it was ordered at orderedAt.
+// Requests in flight continue, and the last list stays in force for a limited time until that address
+// has sent one. Only one goroutine may call it at a time.
+func (g *Gateway) MoveDiscovery(addr string, orderedAt time.Time) {
+	move := discoveryMove{addr, orderedAt}
 	select {
-	case <-g.discoveryMoves: // replaces an earlier move that is still pending
+	case pending := <-g.discoveryMoves: // is replaced, but its changes count as known by its own time
+		move.orderedAt = pending.orderedAt
 	default:
 	}
-	g.discoveryMoves <- addr
+	g.discoveryMoves <- move
 }
 
 // Drain shuts the gateway down gracefully. It returns once all client connections have ended,
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -80,8 +80,8 @@
 	c.sendRequest("r1", "4000m")
 	resp := c.readHead()
 	next := newFakeDiscovery(t, httpwire.EndpointList{Generation: 3, Endpoints: []httpwire.Endpoint{listEntry(b, "ready")}})
-	g.MoveDiscovery("127.0.0.1:1") // replaced before it is polled, or the poll is refused
-	g.MoveDiscovery(next.addr)
+	g.MoveDiscovery("127.0.0.1:1", time.Now()) // replaced before it is polled, or the poll is refused
+	g.MoveDiscovery(next.addr, time.Now())
 	waitUntil(t, "the watch at the new address", func() bool { return next.callCount() >= 2 })
 	if path := next.calls[0]; path != httpwire.ListPath {
 		t.Errorf("the first call there: %s", path)
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -13,8 +13,9 @@
 // contractReloadTimeout bounds how long a reload waits for the gateway to apply new contracts.
 const contractReloadTimeout = time.Second
 
-// reload reads the configuration and the settings file again. If either is invalid, nothing changes.
-func (s *server) reload(ctx context.Context) {
+// reload reads the configuration and the settings file again, as it was ordered at orderedAt. If either is
+// invalid, nothing changes.
+func (s *server) reload(ctx context.Context, orderedAt time.Time) {
 	next, err := Reload(s.getenv)
 	if err != nil {
 		slog.Error("reload_failed", "err", err)
@@ -25,7 +26,7 @@
 		slog.Error("reload_failed", "err", err)
 		return
 	}
-	s.reloadConfig(next)
+	s.reloadConfig(next, orderedAt)
 	previous := s.replaceSettings(settings)
 	if !reflect.DeepEqual(previous.Contracts, settings.Contracts) {
 		s.reloadContracts(ctx)
@@ -42,13 +43,13 @@
 }
 
 // reloadConfig switches to the discovery service of the new configuration, and logs the other changed keys.
-func (s *server) reloadConfig(next Config) {
+func (s *server) reloadConfig(next Config, orderedAt time.Time) {
 	slog.Info("reload", "discovery", next.Gateway.Discovery, "needs_restart", strings.Join(s.config.restartKeys(next), ","))
 	next.logUnknownKeys()
 	s.gateway.SetUnknownKeys(next.UnknownKeyCount)
 	if next.Gateway.Discovery != s.discovery {
 		s.discovery = next.Gateway.Discovery
-		s.gateway.MoveDiscovery(s.discovery)
+		s.gateway.MoveDiscovery(s.discovery, orderedAt)
 	}
 }
 
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -94,8 +94,9 @@
 type events struct {
 	terminate   chan os.Signal
 	hangup      chan os.Signal
-	serveResult chan error // the result of gateway.Serve
-	drainResult chan error // the result of gateway.Drain
+	reload      chan time.Time // when the earliest SIGHUP arrived that is not handled yet
+	serveResult chan error     // the result of gateway.Serve
+	drainResult chan error     // the result of gateway.Drain
 }
 
 // newEvents registers for signals. It is called before any other step of the start, because SIGHUP ends
@@ -104,16 +105,30 @@
 	e := &events{
 		terminate:   make(chan os.Signal, 1),
 		hangup:      make(chan os.Signal, 1),
+		reload:      make(chan time.Time, 1),
 		serveResult: make(chan error, 1),
 		drainResult: make(chan error, 1),
 	}
 	signal.Notify(e.terminate, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(e.hangup, syscall.SIGHUP)
+	go e.timestampHangups()
 	return e
 }
 
+// timestampHangups notes when each SIGHUP arrives, because a reload of before may still run for a second. A
+// SIGHUP that meets a waiting one is covered by it.
+func (e *events) timestampHangups() {
+	for range e.hangup {
+		select {
+		case e.reload <- time.Now():
+		default:
+		}
+	}
+}
+
 func (e *events) stop() {
-	signal.Stop(e.hangup)
+	signal.Stop(e.hangup) // nothing is sent to the channel from here on
+	close(e.hangup)
 	signal.Stop(e.terminate)
 }
 
@@ -223,8 +238,8 @@
 				return fmt.Errorf("listen: %w", err)
 			}
 			serveResult = nil // the drain has ended Serve; a nil channel is never ready
-		case <-events.hangup: // also while the gateway drains
-			s.reload(ctx)
+		case orderedAt := <-events.reload: // also while the gateway drains
+			s.reload(ctx, orderedAt)
 		case sig := <-events.terminate:
 			if draining {
 				continue
