Orders are accepted for replicas that only an earlier process had listed

Cause: the ids that were ever listed were kept by the process (replicaIDHistory) and ended with it. The store of orders records them now, saves them beside the orders, and hands them over.

TestOrderOnReplicaThatOnlyAnEarlierProcessListed (upgrade, restart, kill): 404 in all three before, passes after. Packages maintenance, gateway and the operators' tests of cmd/archknot pass.

--- a/cmd/archknot/fakediscovery_test.go
+++ b/cmd/archknot/fakediscovery_test.go
@@ -31,6 +31,7 @@
 	mu          sync.Mutex
 	entries     map[string]string // by id: JSON text of the endpoint list's entry
 	order       []string          // ids in the order of their first publication
+	removed     map[string]bool   // ids that the full list lacks; changes show them as "gone"
 	changes     []string          // the id that each version changed, from version 2
 	publishedAt []time.Time       // of each change
 	sentAt      []time.Time       // when each change was first sent to a gateway; zero if never
@@ -43,7 +44,7 @@
 
 func newFakeDiscovery(t *testing.T) *fakeDiscovery {
 	t.Helper()
-	d := &fakeDiscovery{addr: freeAddress(t), entries: map[string]string{}, changed: make(chan struct{})}
+	d := &fakeDiscovery{addr: freeAddress(t), entries: map[string]string{}, removed: map[string]bool{}, changed: make(chan struct{})}
 	serve(t, d.addr, d.serve)
 	return d
 }
@@ -61,12 +62,21 @@
 		d.order = append(d.order, id)
 	}
 	d.entries[id] = text
+	delete(d.removed, id)
 	d.changes = append(d.changes, id)
 	d.publishedAt, d.sentAt = append(d.publishedAt, time.Now()), append(d.sentAt, time.Time{})
 	d.wakeAll()
 	return len(d.changes) - 1
 }
 
+// remove publishes that a replica is gone. The full list lacks it until it is published again.
+func (d *fakeDiscovery) remove(id, addr string) {
+	d.publish(id, endpointJSON(id, addr, "gone", ""))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.removed[id] = true
+}
+
 // wakeAll makes the waiting calls check the state again. The caller holds the lock.
 func (d *fakeDiscovery) wakeAll() {
 	close(d.changed)
@@ -197,6 +207,9 @@
 	}
 	var list []string
 	for _, id := range ids {
+		if !changesOnly && d.removed[id] {
+			continue
+		}
 		list = append(list, d.entries[id])
 	}
 	text = fmt.Sprintf(`{"generation":%d,"reset":%t,"instances":[%s]}`, version, !changesOnly, strings.Join(list, ","))
--- a/cmd/archknot/upgrade_test.go
+++ b/cmd/archknot/upgrade_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"flag"
+	"net/http"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // upgrades is how many upgrades the test makes; 50 for a manual run.
@@ -37,3 +39,44 @@
 	p.signal(t, syscall.SIGTERM)
 	p.waitForExit(t)
 }
+
+// saveTime is the time after which a process has saved what was listed to it.
+const saveTime = 2 * time.Second
+
+// Guards against an order on a replica that only an earlier process had listed being refused: the replica came back into
+// service although operators had taken it out (issue 74, review/7).
+func TestOrderOnReplicaThatOnlyAnEarlierProcessListed(t *testing.T) {
+	end := func(how syscall.Signal) func(*deployment, *gatewayProcess) *gatewayProcess {
+		return func(d *deployment, p *gatewayProcess) *gatewayProcess {
+			p.signal(d.t, how)
+			<-p.exited
+			return d.start()
+		}
+	}
+	upgrade := func(d *deployment, p *gatewayProcess) *gatewayProcess { return d.upgrade(p) }
+	for name, replace := range map[string]func(*deployment, *gatewayProcess) *gatewayProcess{
+		"upgrade": upgrade, "restart": end(syscall.SIGTERM), "kill": end(syscall.SIGKILL),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 3)
+			p := d.start()
+			d.waitUntilReady(p)
+			absent := d.replicas[0]
+			d.discovery.remove(absent.id, absent.addr)
+			waitUntil(t, "the replica is off the list", d.discovery.allDelivered)
+			time.Sleep(saveTime)
+			p = replace(d, p)
+			d.waitUntilReady(p)
+			traffic := d.startTraffic(2)
+			d.order(p, http.MethodPut, "/-/replicas/"+absent.id+"/disable")
+			if status := p.callAdmin(http.MethodPut, "/-/replicas/s-9/disable"); !isError(status) {
+				t.Errorf("never listed: status %d, want an error", status)
+			}
+			d.discovery.publish(absent.id, endpointJSON(absent.id, absent.addr, "ready", ""))
+			waitUntil(t, "the replica is listed again", d.discovery.allDelivered)
+			d.expectNoAttempts(absent, traffic, "listed again")
+			traffic.stopAndWait()
+		})
+	}
+}
--- a/internal/gateway/ejections.go
+++ b/internal/gateway/ejections.go
@@ -6,13 +6,8 @@
 	"sync"
 )
 
-const (
-	// maxPendingEjections bounds the ejections that wait for discovery's first answer.
-	maxPendingEjections = 64
-	// maxReplicaIDHistory bounds the recorded ids of listed replicas; the oldest are evicted
-	// first.
-	maxReplicaIDHistory = 16384
-)
+// maxPendingEjections bounds the ejections that wait for discovery's first answer.
+const maxPendingEjections = 64
 
 // pendingEjections are the replicas that operators ejected before discovery answered, when it
 // is not known yet whether these replicas exist. The zero value is empty; any goroutine may
@@ -67,38 +62,3 @@
 	}
 	return out
 }
-
-// replicaIDHistory records the ids of the replicas that lists had in this process, up to
-// maxReplicaIDHistory. The zero value is empty; any goroutine may call its methods.
-type replicaIDHistory struct {
-	mu    sync.Mutex
-	known map[string]struct{}
-	ring  []string // in the order of listing
-	next  int      // index of the oldest id, once the ring is full
-}
-
-func (h *replicaIDHistory) add(id string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if _, known := h.known[id]; known {
-		return
-	}
-	if h.known == nil {
-		h.known = map[string]struct{}{}
-	}
-	h.known[id] = struct{}{}
-	if len(h.ring) < maxReplicaIDHistory {
-		h.ring = append(h.ring, id)
-		return
-	}
-	delete(h.known, h.ring[h.next])
-	h.ring[h.next] = id
-	h.next = (h.next + 1) % maxReplicaIDHistory
-}
-
-func (h *replicaIDHistory) has(id string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	_, known := h.known[id]
-	return known
-}
--- a/internal/gateway/endpoints.go
+++ b/internal/gateway/endpoints.go
@@ -127,9 +127,11 @@
 	if l.gateway.options.Orders == nil {
 		return
 	}
+	ids := make([]string, len(list.Endpoints))
 	for i := range list.Endpoints {
-		l.gateway.recentReplicas.add(list.Endpoints[i].ID)
+		ids[i] = list.Endpoints[i].ID
 	}
+	l.gateway.options.Orders.RecordListed(ids)
 	if len(l.endpoints.ejectedStart) < len(l.endpoints.ejected) {
 		l.endpoints.recordEjectedStarts()
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,6 @@
 	hasContracts atomic.Bool
 
 	// Operators' orders.
-	recentReplicas   replicaIDHistory
 	pendingEjections pendingEjections
 	orderUpdates     chan struct{}
 	adminCalls       adminapi.CallCounts
--- a/internal/gateway/orders.go
+++ b/internal/gateway/orders.go
@@ -96,15 +96,15 @@
 	})
 }
 
-// isKnownReplica reports whether a replica was ever listed, or has an order. If discovery has
+// isKnownReplica reports whether a replica was ever listed, to this process or an earlier one, or has an order. If discovery has
 // not answered yet, it waits for the first answer until the context ends.
 func (g *Gateway) isKnownReplica(ctx context.Context, id string) bool {
 	for {
-		if g.recentReplicas.has(id) || g.options.Orders.HasOrder(id) {
+		if g.options.Orders.WasListed(id) || g.options.Orders.HasOrder(id) {
 			return true
 		}
 		if g.discoveryAnswered.Load() {
-			return g.recentReplicas.has(id) // the list may have arrived after the check above
+			return g.options.Orders.WasListed(id) // the list may have arrived after the check above
 		}
 		select {
 		case <-time.After(discoveryCheckInterval):
@@ -118,7 +118,7 @@
 // of replicas that are not listed. It completes even if the context ends.
 func (g *Gateway) confirmEjections(ctx context.Context) {
 	for _, id := range g.pendingEjections.all() {
-		if g.recentReplicas.has(id) {
+		if g.options.Orders.WasListed(id) {
 			ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), saveEjectionTimeout)
 			_ = g.options.Orders.SetEjected(ctx, id, true) // the store logs a failure
 			stop()
--- a/internal/maintenance/persist.go
+++ b/internal/maintenance/persist.go
@@ -106,11 +106,13 @@
 			return s.quarantine(err)
 		}
 	}
+	s.mergeState(stored)
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed.recordFileContent(stored.Listed)
+	stored.Listed = nil
 	s.fingerprint = fingerprint
 	s.saved = stored
-	s.mu.Unlock()
-	s.mergeState(stored)
 	return nil
 }
 
@@ -129,25 +131,29 @@
 	}
 	s.fingerprint = ""
 	s.saved = newState()
+	s.listed.recordFileContent(nil)
 	return nil
 }
 
-// save writes the state if it differs from the file. The caller holds fileSemaphore.
+// save writes the state if the file lacks a part of it. The caller holds fileSemaphore.
 func (s *Store) save() error {
 	s.mu.Lock()
-	current := s.state.clone()
-	unchanged := current.equal(s.saved)
-	s.mu.Unlock()
+	unchanged := s.state.equal(s.saved) && s.listed.saved()
 	if unchanged {
+		s.mu.Unlock()
 		return nil
 	}
+	current, additions := s.currentState(), s.listed.additions
+	s.mu.Unlock()
 	fingerprint, err := s.options.FileSystem.WriteFileAtomic(s.path, current.marshal())
 	if err != nil {
 		return err
 	}
+	current.Listed = nil
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.saved = current
+	s.listed.savedAdditions = additions
 	s.fingerprint = fingerprint
-	s.mu.Unlock()
 	return nil
 }
--- a/internal/maintenance/state.go
+++ b/internal/maintenance/state.go
@@ -47,6 +47,9 @@
 	// Replicas holds the latest order on each replica, by id. Orders to reinstate a replica are kept, to
 	// supersede older orders of other processes.
 	Replicas map[string]order `json:"replicas"`
+	// Listed has the ids of the replicas that discovery has listed. It is set only in a state that is read or
+	// written; in between a Store keeps them in listedReplicas. Earlier versions skip it.
+	Listed []string `json:"listed,omitempty"`
 }
 
 func newState() state { return state{Format: formatVersion, Replicas: map[string]order{}} }
@@ -84,6 +87,7 @@
 	return s
 }
 
+// equal reports whether two states have the same orders.
 func (s state) equal(other state) bool {
 	return s.Drain == other.Drain && maps.Equal(s.Replicas, other.Replicas)
 }
--- a/internal/maintenance/store.go
+++ b/internal/maintenance/store.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,7 @@
 
 	mu                 sync.Mutex // protects the fields below
 	state              state
+	listed             listedReplicas
 	saved              state     // content of the file when this process last read or wrote it
 	fingerprint        string    // of the file when saved was read or written
 	lastError          error     // of the latest attempt to read or save; nil: it succeeded
@@ -149,8 +151,8 @@
 	}
 }
 
-// Run keeps the store in sync with the file and the predecessor until the context ends, retries failed
-// saves, and serves the orders to a successor. It must be called only once.
+// Run keeps the store in sync with the file and the predecessor until the context ends, saves the listed
+// replicas, retries failed saves, and serves the orders to a successor. It must be called only once.
 func (s *Store) Run(ctx context.Context) {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
@@ -250,9 +252,11 @@
 	return s.flush(ctx)
 }
 
-// mergeState merges the orders of the file or of another process, and publishes a change.
+// mergeState merges the orders and listed replicas of the file or of another process, and publishes a change
+// of the orders.
 func (s *Store) mergeState(other state) {
 	s.mu.Lock()
+	s.listed.merge(other.Listed)
 	changed := s.state.merge(other)
 	s.mu.Unlock()
 	if changed {
@@ -282,5 +286,12 @@
 func (s *Store) snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state.marshal()
+	return s.currentState().marshal()
+}
+
+// currentState returns a copy of the state with the listed replicas. The caller holds mu.
+func (s *Store) currentState() state {
+	current := s.state.clone()
+	current.Listed = slices.Clone(s.listed.ids)
+	return current
 }
