A drain holds over upgrades in a row: each process can be found all the time

Cause: processes found each other by one address, which the present process took up to 0.25 s after its predecessor's end; one that started meanwhile found nobody and ended the drain for all. Each process now listens on an address of its own, of four, before it says that it can serve, and a starting one asks all four.

TestDrainHoldsOverUpgradesInARow: ended at the first upgrade before, passes after.

--- a/cmd/archknot/operators_test.go
+++ b/cmd/archknot/operators_test.go
@@ -164,6 +164,60 @@
 	p.waitForExit(t)
 }
 
+// frontInterval is how often the front checks a gateway.
+const frontInterval = 100 * time.Millisecond
+
+// frontChecks asks a gateway as the front does, on a new connection each time, and counts the positive answers.
+type frontChecks struct{ end, done chan int }
+
+func newFrontChecks(p *gatewayProcess) *frontChecks {
+	f := &frontChecks{end: make(chan int), done: make(chan int, 1)}
+	go func() {
+		yes := 0
+		for {
+			if p.readyStatus() == http.StatusOK {
+				yes++
+			}
+			select {
+			case <-time.After(frontInterval):
+			case <-f.end:
+				f.done <- yes
+				return
+			}
+		}
+	}()
+	return f
+}
+
+// stop ends the checks and returns the number of positive answers.
+func (f *frontChecks) stop() int {
+	close(f.end)
+	return <-f.done
+}
+
+// Guards against a gateway that operators drained and that serves clients after upgrades in a row (issue 74, review/8).
+func TestDrainedGatewayStaysDrainedOverUpgrades(t *testing.T) {
+	d := newDeployment(t, 2)
+	p := d.start()
+	d.waitUntilReady(p)
+	d.order(p, http.MethodPut, "/-/drain")
+	front := newFrontChecks(p)
+	for i := range 4 {
+		next := d.start()
+		waitUntil(t, "the operators' readiness check", func() bool { return isSuccess(next.callAdmin(http.MethodGet, "/-/ready")) })
+		time.Sleep(time.Duration(i) * 45 * time.Millisecond) // another phase of the store's checks each time
+		p.signal(t, syscall.SIGTERM)
+		p.waitForExit(t)
+		p = next
+	}
+	time.Sleep(frontInterval)
+	if yes := front.stop(); yes > 0 {
+		t.Errorf("the drained gateway said yes to the front %d times", yes)
+	}
+	d.order(p, http.MethodPut, "/-/resume")
+	waitUntil(t, "ready again", func() bool { return p.readyStatus() == http.StatusOK })
+}
+
 // An invalid entry of the endpoint list is skipped: the other changes of the same list and of later lists apply.
 func TestInvalidEndpointIsSkipped(t *testing.T) {
 	for name, invalid := range map[string]string{
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -205,6 +205,7 @@
 		return func() {}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	s.config.Gateway.Orders.Listen() // before this process says that it can serve, and its predecessor may end
 	go s.config.Gateway.Orders.Run(ctx)
 	admin := adminapi.Listen(s.config.Admin, s.gateway, s.gateway.AdminCalls())
 	return func() {
--- a/internal/maintenance/store.go
+++ b/internal/maintenance/store.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	// syncInterval is the time between two checks of the file and the predecessor for newer orders, and
+	// syncInterval is the time between two checks of the file and other processes for newer orders, and
 	// between two retries of a failed save.
 	syncInterval = 250 * time.Millisecond
 	// orderTimeout bounds how long an order waits to be saved: operators expect a response within 1 s.
 	orderTimeout = 600 * time.Millisecond
-	// retryInterval is the pause between two attempts to read or save the file, or to query the predecessor.
+	// retryInterval is the pause between two attempts to read or save the file, or to query other processes.
 	retryInterval = 40 * time.Millisecond
 	// openTimeout bounds how long Open retries to read the file.
 	openTimeout = 600 * time.Millisecond
@@ -47,7 +47,7 @@
 type Store struct {
 	options  Options
 	path     string
-	handoff  handoff
+	handoff  *handoff
 	ejected  atomic.Pointer[map[string]struct{}] // a copy for readers that must not block on mu
 	onChange atomic.Pointer[func()]
 
@@ -72,7 +72,7 @@
 	s := &Store{
 		options:       o,
 		path:          filepath.Join(o.Directory, base+".orders"),
-		handoff:       handoff{address: "@" + base},
+		handoff:       newHandoff(base),
 		state:         newState(),
 		saved:         newState(),
 		fileSemaphore: make(chan struct{}, 1),
@@ -111,17 +111,15 @@
 	}
 }
 
-// inheritOrders merges the orders of a predecessor that is still running. Without one, the process that was
+// inheritOrders merges the orders of the processes that are still running. Without one, the process that was
 // drained has ended, and so inheritOrders ends the drain.
 func (s *Store) inheritOrders() {
 	deadline := time.Now().Add(predecessorTimeout)
 	for {
-		predecessor, outcome := s.handoff.queryPredecessor()
-		switch outcome {
-		case predecessorResponded:
-			s.mergeState(predecessor)
+		switch s.mergeOthers() {
+		case otherResponded:
 			return
-		case noPredecessor:
+		case noOtherProcess:
 			s.endDrain()
 			return
 		}
@@ -132,6 +130,15 @@
 	}
 }
 
+// mergeOthers merges the orders of the gateway's other processes.
+func (s *Store) mergeOthers() queryOutcome {
+	states, outcome := s.handoff.queryOthers()
+	for _, other := range states {
+		s.mergeState(other)
+	}
+	return outcome
+}
+
 // endDrain cancels a drain that was ordered for an earlier process.
 func (s *Store) endDrain() {
 	s.mu.Lock()
@@ -151,17 +158,15 @@
 	}
 }
 
-// Run keeps the store in sync with the file and the predecessor until the context ends, saves the listed
-// replicas, retries failed saves, and serves the orders to a successor. It must be called only once.
+// Run keeps the store in sync with the file and the gateway's other processes until the context ends, saves the
+// listed replicas, retries failed saves, and serves the orders to other processes. It must be called only once.
 func (s *Store) Run(ctx context.Context) {
 	ticker := time.NewTicker(syncInterval)
 	defer ticker.Stop()
 	defer s.handoff.close()
 	for {
 		s.handoff.listen(s)
-		if predecessor, outcome := s.handoff.queryPredecessor(); outcome == predecessorResponded {
-			s.mergeState(predecessor)
-		}
+		s.mergeOthers()
 		_ = s.withExclusiveFile(ctx, s.sync) // sync logs a failure
 		select {
 		case <-ticker.C:
@@ -205,12 +210,17 @@
 	return s.lastError
 }
 
-// HasPredecessor reports whether a predecessor is still running.
+// HasPredecessor reports whether another process of the gateway is running. At the start of a process that is
+// its predecessor.
 func (s *Store) HasPredecessor() bool {
-	_, outcome := s.handoff.queryPredecessor()
-	return outcome != noPredecessor
+	_, outcome := s.handoff.queryOthers()
+	return outcome != noOtherProcess
 }
 
+// Listen makes this process known to the processes that start from now on, which take its orders over. Run keeps
+// trying if that fails.
+func (s *Store) Listen() { s.handoff.listen(s) }
+
 // SetEjected ejects or reinstates a replica. The order is in force when this returns nil or ErrNotSaved,
 // and saved when it returns nil. In case of ErrTooManyEjected, or of an id that is empty or too long, nothing
 // changes.
@@ -282,7 +292,7 @@
 	callback()
 }
 
-// snapshot returns the state in the file format, for a successor.
+// snapshot returns the state in the file format, for another process.
 func (s *Store) snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/maintenance/store_test.go
+++ b/internal/maintenance/store_test.go
@@ -156,6 +156,44 @@
 	}
 }
 
+// Guards against a drain that ends by itself in upgrades in a row: a process that started right after the end of the one
+// before the present found no other process, since the present one had not taken the address yet (issue 74, review/8).
+func TestDrainHoldsOverUpgradesInARow(t *testing.T) {
+	dir := t.TempDir()
+	old, end := openStore(t, dir, nil, true)
+	if err := old.SetDrained(context.Background(), true); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 5 {
+		next := Open(old.options)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { next.Run(ctx); close(done) }()
+		time.Sleep(syncInterval / 5) // its first check has passed, and the next one is not due
+		end()
+		if !next.Drained() || !Open(old.options).Drained() {
+			t.Fatalf("upgrade %d: the drain has ended", i+1)
+		}
+		end = func() { cancel(); <-done }
+	}
+	end()
+	if Open(old.options).Drained() {
+		t.Error("the drain holds after the last process has ended")
+	}
+}
+
+// A process stays known to those of earlier versions, which ask the first address only: it takes that one when its owner ends.
+func TestFirstHandoffAddressIsTaken(t *testing.T) {
+	old, end := openStore(t, t.TempDir(), nil, true)
+	next := Open(old.options)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go next.Run(ctx)
+	waitUntil(t, "the successor listens beside its predecessor", func() bool { return next.handoff.owns(1) })
+	end()
+	waitUntil(t, "the successor takes the first address", func() bool { return next.handoff.owns(0) })
+}
+
 // A file that is not a complete state is quarantined, and the orders in force are saved to a new file.
 func TestCorruptedFiles(t *testing.T) {
 	for name, content := range map[string]string{"empty": "", "half": `{"format":1,"replicas":{"s-1":{"numb`, "another's": "#!/bin/sh\n",
