An upgrade takes over the stores and addresses of the program's own settings

Cause: each belongs to one process, and a failure to open it ended the start; the last log line named the setting each time. Where the platform passes on the clients' socket, what another process has is now taken over once it is free. Stores are read from a checked copy meanwhile; the first write of balances adds this process's usage to what the old one stored since, and the ledger gets that too. Peers join only once the address is free: joined before, the higher incarnation would prove the running process dead.

TestHistoryIsBounded syncs its writes now (it set NoSync on the database itself); it asks the same.

--- a/internal/controlsocket/server.go
+++ b/internal/controlsocket/server.go
@@ -30,6 +30,9 @@
 	socketUmask = 0o177
 )
 
+// ErrInUse is returned by Listen if another gateway listens on the socket.
+var ErrInUse = errors.New("another gateway listens on this socket")
+
 // Handler executes one kind of command. Its response is sent as JSON, or its error as text. Handlers may
 // run concurrently, and should return when the context ends.
 type Handler func(ctx context.Context, request json.RawMessage) (response any, err error)
@@ -73,7 +76,7 @@
 	conn, err := net.DialTimeout("unix", path, probeTimeout)
 	if err == nil {
 		conn.Close()
-		return fmt.Errorf("control.socket: %s: another gateway listens on this socket", path)
+		return fmt.Errorf("control.socket: %s: %w", path, ErrInUse)
 	}
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return nil // usually no such file; otherwise Listen fails and returns the cause
--- a/internal/gateway/contracts.go
+++ b/internal/gateway/contracts.go
@@ -53,11 +53,13 @@
 	// Written before any request is served: a strict ledger requires a stored balance, and a disk
 	// that cannot be written is detected at startup.
 	checkpoint, list := accounting.recordedLedger.Checkpoint(now)
-	if err := g.options.Ledger.Write(list); err != nil {
-		return err
+	err = g.options.Ledger.Write(list)
+	accounting.recordedLedger.CheckpointDone(now, checkpoint, err == nil)
+	if errors.Is(err, ledger.ErrBusy) { // the process that this one replaces still has the store; the loop tries again
+		slog.Info("contract_ledger_busy", "balances", len(balances))
+		return nil
 	}
-	accounting.recordedLedger.CheckpointDone(now, checkpoint, true)
-	return nil
+	return err
 }
 
 func (g *Gateway) storedBalances() ([]contract.Balance, error) {
@@ -174,6 +176,23 @@
 
 func (e checkpointWritten) apply(l *eventLoop) {
 	l.accounting.checkpointWritten(l.now, e.checkpoint, e.err)
+	if e.err == nil {
+		l.adoptInheritedUsage()
+	}
+}
+
+// adoptInheritedUsage adds to the ledger what the process that this one replaced stored after this one had started.
+// It replaces the ledger; requests in flight stay charged as estimated.
+func (l *eventLoop) adoptInheritedUsage() {
+	store, a := l.gateway.options.Ledger, &l.accounting
+	if a.ledger == nil || !store.HasInheritedUsage() {
+		return
+	}
+	balances := store.TakeInheritedUsage(a.ledger.FinalBalances())
+	l.removeContracts()
+	if err := l.applyContracts(balances); err != nil {
+		slog.Error("contracts_failed", "err", err)
+	}
 }
 
 // applyContracts applies the contracts of the configuration file and version. A new ledger starts
--- a/internal/lifecycle/configstream.go
+++ b/internal/lifecycle/configstream.go
@@ -38,12 +38,16 @@
 		closers = append(closers, closeTLS)
 	}
 	if service.StorePath != "" {
-		if options.Store, err = openVersionStore(service.StorePath); err != nil {
+		if options.Store, err = openVersionStore(service.StorePath, s.mayReplaceProcess()); err != nil {
 			closeFiles()
 			return nil, err
 		}
 		s.versionStore = options.Store
 		closers = append(closers, func() { s.versionStore.Close() })
+		if err := s.openOrTakeOver(versionStore, s.versionStore.Acquire); err != nil {
+			closeFiles()
+			return nil, err
+		}
 	}
 	if s.configStream, err = xdsclient.New(options, s); err != nil {
 		closeFiles()
@@ -64,8 +68,13 @@
 }
 
 // openVersionStore opens the store of streamed versions. A corrupted store is renamed and replaced by an empty one.
-func openVersionStore(path string) (*xdsclient.Store, error) {
-	store, setAside, err := xdsclient.OpenStore(path)
+// Another process may have the store open if mayBeBusy is set.
+func openVersionStore(path string, mayBeBusy bool) (*xdsclient.Store, error) {
+	open := xdsclient.OpenStore
+	if mayBeBusy {
+		open = xdsclient.OpenStoreBesidePredecessor
+	}
+	store, setAside, err := open(path)
 	if err != nil {
 		return nil, fmt.Errorf("control-service.store: %w", err)
 	}
--- a/internal/lifecycle/gatewayoptions.go
+++ b/internal/lifecycle/gatewayoptions.go
@@ -93,7 +93,7 @@
 }
 
 // startPeers starts the service that connects the gateway to its peers; nil if no peer address is set.
-func startPeers(c config.Peers, o gateway.Options) (*peers.Service, error) {
+func startPeers(c config.Peers, o gateway.Options, awaitAddress bool) (*peers.Service, error) {
 	if c.Listen == "" {
 		return nil, nil
 	}
@@ -112,6 +112,7 @@
 		MaxRecords:          c.MaxRecords,
 		MaxRecordsPerHolder: c.MaxRecordsPerGateway,
 		RandomSeed:          o.Seed,
+		AwaitAddress:        awaitAddress,
 	})
 }
 
@@ -120,12 +121,17 @@
 	return strings.FieldsFunc(list, func(r rune) bool { return r == ',' })
 }
 
-// openLedger opens the contract ledger; nil if no path is set. A corrupted ledger is renamed and replaced.
-func openLedger(path string) (*ledger.Store, error) {
+// openLedger opens the contract ledger; nil if no path is set. A corrupted ledger is renamed and replaced. Another
+// process may have the ledger open if mayBeBusy is set.
+func openLedger(path string, mayBeBusy bool) (*ledger.Store, error) {
 	if path == "" {
 		return nil, nil
 	}
-	store, setAside, err := ledger.Open(path)
+	open := ledger.Open
+	if mayBeBusy {
+		open = ledger.OpenBesidePredecessor
+	}
+	store, setAside, err := open(path)
 	if err != nil {
 		return nil, fmt.Errorf("contracts.store: %w", err)
 	}
--- a/internal/lifecycle/listeners.go
+++ b/internal/lifecycle/listeners.go
@@ -11,15 +11,15 @@
 
 // listen opens the control socket, the metrics address and the clients' listener, which it returns.
 func (s *server) listen() (net.Listener, error) {
-	if err := s.listenControl(); err != nil {
+	if err := s.openOrTakeOver(controlListener, s.listenControl); err != nil {
 		return nil, err
 	}
-	if err := s.listenMetrics(); err != nil {
+	if err := s.openOrTakeOver(metricsListener, s.listenMetrics); err != nil {
 		return nil, err
 	}
 	var listener net.Listener
 	err := retryTransient(func() (err error) {
-		listener, err = openListener(s.config)
+		listener, err = openClientListener(s.config)
 		return err
 	})
 	if err != nil {
@@ -28,9 +28,9 @@
 	return listener, nil
 }
 
-// openListener opens the clients' listener, or uses the listening socket that the platform passes on. In
+// openClientListener opens the clients' listener, or uses the listening socket that the platform passes on. In
 // that case the platform owns the address, and all processes of the gateway accept on the same socket.
-func openListener(c Config) (net.Listener, error) {
+func openClientListener(c Config) (net.Listener, error) {
 	if c.ListenFD == 0 {
 		return net.Listen("tcp", c.Listen)
 	}
--- a/internal/lifecycle/listeners_test.go
+++ b/internal/lifecycle/listeners_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := openListener(c)
+	l, err := openClientListener(c)
 	if err != nil {
 		t.Fatalf("the inherited socket was not used: %v", err)
 	}
--- a/internal/lifecycle/reload.go
+++ b/internal/lifecycle/reload.go
@@ -93,7 +93,7 @@
 
 func (s *server) reopenMetrics() {
 	s.metricsServer.Close() // does nothing if nil
-	if err := s.listenMetrics(); err != nil {
+	if err := s.openOrTakeOver(metricsListener, s.listenMetrics); err != nil {
 		slog.Error("metrics_failed", "err", err)
 	}
 }
@@ -103,7 +103,7 @@
 		s.controlSocket.Close()
 		s.controlSocket = nil
 	}
-	if err := s.listenControl(); err != nil {
+	if err := s.openOrTakeOver(controlListener, s.listenControl); err != nil {
 		slog.Error("control_failed", "err", err)
 	}
 }
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -51,6 +51,7 @@
 	configStream   *xdsclient.Client // nil: no control service
 	versionStore   *xdsclient.Store  // nil: no control service, or it has no store
 	captureChanges chan *config.Config
+	busyResources  busyResources
 
 	mu            sync.Mutex            // protects the fields below
 	fileSettings  *config.Config        // replaced, never changed
@@ -67,18 +68,23 @@
 	if err != nil {
 		return ConfigError{err}
 	}
+	// First of all that takes time, so that a predecessor that may end meanwhile is found.
+	s.config.Gateway.Orders = openOrders(&s.config, s.getenv("TMPDIR"))
 	closeStream, err := s.openConfigStream()
 	if err != nil {
 		return ConfigError{err}
 	}
 	defer closeStream()
-	ledgerStore, err := openLedger(s.fileSettings.Contracts.StorePath)
+	ledgerStore, err := openLedger(s.fileSettings.Contracts.StorePath, s.mayReplaceProcess())
 	if err != nil {
 		return ConfigError{err}
 	}
 	if ledgerStore != nil {
 		defer ledgerStore.Close()
 		s.config.Gateway.Ledger = ledgerStore
+		if err := s.openOrTakeOver(contractStore, ledgerStore.Acquire); err != nil {
+			return ConfigError{err}
+		}
 	}
 	if err := s.newGateway(); err != nil {
 		return err
@@ -134,7 +140,7 @@
 
 // loadServer reads the settings file and the configuration.
 func loadServer(getenv func(string) string, settingsFile string) (*server, error) {
-	s := &server{getenv: getenv, settingsFile: settingsFile, captureChanges: make(chan *config.Config, 1)}
+	s := &server{getenv: getenv, settingsFile: settingsFile, captureChanges: make(chan *config.Config, 1), busyResources: busyResources{}}
 	var err error
 	if s.fileSettings, err = config.Load(settingsFile); err != nil {
 		return nil, err
@@ -158,10 +164,9 @@
 	runtime.GOMAXPROCS(s.config.Cores)
 	debug.SetMemoryLimit(s.config.MemoryMB * mebibyte)
 	var err error
-	if o.Peers, err = startPeers(s.fileSettings.Peers, *o); err != nil {
+	if o.Peers, err = startPeers(s.fileSettings.Peers, *o, s.mayReplaceProcess()); err != nil {
 		return err
 	}
-	o.Orders = openOrders(&s.config, s.getenv("TMPDIR"))
 	if s.gateway, err = gateway.New(*o); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
@@ -241,6 +246,8 @@
 			serveResult = nil // the drain has ended Serve; a nil channel is never ready
 		case orderedAt := <-events.reload: // also while the gateway drains
 			s.reload(ctx, orderedAt)
+		case <-s.nextTakeOver():
+			s.takeOver()
 		case sig := <-events.terminate:
 			if draining {
 				continue
--- a/internal/peers/batch.go
+++ b/internal/peers/batch.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -24,6 +25,9 @@
 	memberSizeEstimate = 24
 )
 
+// errNotListening is the error of a datagram before the sockets are open.
+var errNotListening = errors.New("the sockets are not open yet")
+
 // messageBatch holds the takeover messages that are sent to a member in one datagram.
 type messageBatch struct {
 	to       takeover.Member
@@ -96,6 +100,9 @@
 }
 
 func (s *Service) tryWriteDatagram(address string, d *datagram) error {
+	if s.udp == nil {
+		return errNotListening
+	}
 	addr, err := s.resolve(address)
 	if err != nil {
 		return err
--- a/internal/peers/dispatch.go
+++ b/internal/peers/dispatch.go
@@ -9,10 +9,10 @@
 )
 
 // readDatagrams receives and handles the datagrams of other gateways until the socket is closed.
-func (s *Service) readDatagrams() {
+func (s *Service) readDatagrams(socket *net.UDPConn) {
 	buffer := make([]byte, maxDatagramSize)
 	for {
-		size, _, err := s.udp.ReadFromUDPAddrPort(buffer)
+		size, _, err := socket.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/peers/probe.go
+++ b/internal/peers/probe.go
@@ -27,10 +27,10 @@
 
 // serveProbes answers each connection with this gateway's name and incarnation, until the
 // listener is closed.
-func (s *Service) serveProbes() {
+func (s *Service) serveProbes(listener net.Listener) {
 	slots := make(chan struct{}, maxConcurrentProbes)
 	for {
-		conn, err := s.tcp.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"archknot/internal/membership"
@@ -26,6 +28,8 @@
 	heartbeatsPerFreeze = 4
 	// receiveBufferSize is the requested size of the socket's receive buffer in bytes.
 	receiveBufferSize = 1 << 20
+	// addressRetryInterval is the pause between two attempts to open the sockets while another process has the address.
+	addressRetryInterval = 250 * time.Millisecond
 )
 
 // Options are the parameters of a Service.
@@ -44,6 +48,10 @@
 	MaxRecords          int           // of other gateways' requests
 	MaxRecordsPerHolder int
 	RandomSeed          uint64
+	// AwaitAddress makes the service start without its sockets if another process has ListenAddr, as the old
+	// process of an upgrade does. Until that ends, this gateway has no part in the membership, and leases
+	// are not replicated.
+	AwaitAddress bool
 }
 
 // Service exchanges datagrams and probes with the other gateways. Its methods may be called from
@@ -51,11 +59,12 @@
 type Service struct {
 	options   Options
 	self      takeover.Member
-	udp       *net.UDPConn
-	tcp       net.Listener
 	startedAt time.Time
 
-	mu               sync.Mutex // guards the fields below
+	mu               sync.Mutex   // guards the fields below
+	udp              *net.UDPConn // like tcp nil until the address is free, and set once
+	tcp              net.Listener
+	closed           bool
 	node             *takeover.Node
 	table            *membership.Table
 	leases           map[string]*Lease        // by request id, like unreplicated and claims
@@ -79,11 +88,14 @@
 // Start opens the sockets. Run serves them until Close.
 func Start(options Options) (*Service, error) {
 	tcp, udp, err := listen(options.ListenAddr)
-	if err != nil {
+	busy := options.AwaitAddress && errors.Is(err, syscall.EADDRINUSE)
+	if err != nil && !busy {
 		return nil, err
 	}
 	if options.AdvertiseAddr == "" {
-		options.AdvertiseAddr = tcp.Addr().String()
+		if options.AdvertiseAddr, err = ownAddr(tcp, options.ListenAddr); err != nil {
+			return nil, err
+		}
 	}
 	startedAt := time.Now()
 	s := &Service{
@@ -113,6 +125,18 @@
 	return s, nil
 }
 
+// ownAddr returns the address that the service listens on, or will listen on if listener is nil.
+func ownAddr(listener net.Listener, listenAddr string) (string, error) {
+	if listener != nil {
+		return listener.Addr().String(), nil
+	}
+	addr, err := net.ResolveTCPAddr("tcp", listenAddr)
+	if err != nil {
+		return "", fmt.Errorf("peers: %w", err)
+	}
+	return addr.String(), nil
+}
+
 // listen opens a TCP listener and a UDP socket on the same address and port.
 func listen(address string) (net.Listener, *net.UDPConn, error) {
 	tcp, err := net.Listen("tcp", address)
@@ -133,16 +157,22 @@
 	return tcp, udp, nil
 }
 
-// Addr returns the address that the service listens on.
-func (s *Service) Addr() string { return s.tcp.Addr().String() }
+// Addr returns the address that the service listens on, or will listen on.
+func (s *Service) Addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tcp == nil {
+		return s.options.ListenAddr
+	}
+	return s.tcp.Addr().String()
+}
 
 // now returns the microseconds since the start.
 func (s *Service) now() int64 { return time.Since(s.startedAt).Microseconds() }
 
 // Run serves the sockets until the context ends, then closes them.
 func (s *Service) Run(ctx context.Context) {
-	go s.serveProbes()
-	go s.readDatagrams()
+	go s.serveSockets(ctx)
 	ticker := time.NewTicker(min(maxHeartbeatInterval, s.options.FreezeThreshold/heartbeatsPerFreeze))
 	defer ticker.Stop()
 	defer s.Close()
@@ -157,12 +187,52 @@
 	}
 }
 
-// tick advances the membership and the takeovers to the present time.
+// serveSockets serves the sockets until they are closed. If another process has the address, it first waits until that
+// is free.
+func (s *Service) serveSockets(ctx context.Context) {
+	for waited := false; !s.listening(); waited = true {
+		if !waited {
+			slog.Warn("listener_busy", "listener", "peers", "listen", s.options.ListenAddr)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(addressRetryInterval):
+		}
+		if tcp, udp, err := listen(s.options.ListenAddr); err == nil {
+			s.setSockets(tcp, udp)
+			slog.Info("listener_opened", "listener", "peers")
+		}
+	}
+	go s.serveProbes(s.tcp) // neither changes from here on
+	s.readDatagrams(s.udp)
+}
+
+func (s *Service) listening() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tcp != nil
+}
+
+// setSockets sets the sockets, or closes them if the service is closed.
+func (s *Service) setSockets(tcp net.Listener, udp *net.UDPConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tcp, s.udp = tcp, udp
+	if s.closed {
+		s.closeSockets()
+	}
+}
+
+// tick advances the membership and the takeovers to the present time. A gateway without sockets has no part in
+// the membership yet.
 func (s *Service) tick() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	s.table.Tick(now)
+	if s.tcp != nil {
+		s.table.Tick(now)
+	}
 	s.node.Tick(now)
 	if len(s.backupCandidates) > 0 {
 		for id := range s.unreplicated {
@@ -176,6 +246,15 @@
 // Close closes the sockets. The process has to end right after it: a refused probe proves to
 // the other gateways that it is dead.
 func (s *Service) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	if s.tcp != nil {
+		s.closeSockets()
+	}
+}
+
+func (s *Service) closeSockets() {
 	s.udp.Close()
 	s.tcp.Close()
 }
--- a/internal/xdsclient/store.go
+++ b/internal/xdsclient/store.go
@@ -15,7 +15,8 @@
 // Store persists the last good version, the versions that must not be applied again, and
 // the history of events. Each change is one transaction: if the process is killed at any
 // point, the store has the state before or the state after the change.
-type Store struct{ db *bbolt.DB }
+// While another process has the file open, a change fails with boltfile.ErrBusy.
+type Store struct{ db *boltfile.Database }
 
 // Names of the buckets, and of the keys in the state bucket.
 var (
@@ -37,10 +38,21 @@
 }
 
 // OpenStore opens the store at a path, or creates it with mode 0600. A corrupted store is
-// renamed and replaced by an empty one; setAside is then its new path.
+// renamed and replaced by an empty one; setAside is then its new path. It is an error if
+// another process has the store open.
 func OpenStore(path string) (s *Store, setAside string, err error) {
-	db, setAside, err := boltfile.Open(path, [][]byte{stateBucket, historyBucket}, func(db *bbolt.DB) error {
-		_, _, err := (&Store{db}).Load()
+	return openStore(path, boltfile.Exclusive)
+}
+
+// OpenStoreBesidePredecessor opens the store like OpenStore, but another process may have it
+// open. Until that process ends, the store can only be read.
+func OpenStoreBesidePredecessor(path string) (s *Store, setAside string, err error) {
+	return openStore(path, boltfile.BesidePredecessor)
+}
+
+func openStore(path string, sharing boltfile.Sharing) (s *Store, setAside string, err error) {
+	db, setAside, err := boltfile.OpenShared(path, [][]byte{stateBucket, historyBucket}, sharing, func(db boltfile.Reader) error {
+		_, _, err := load(db)
 		return err
 	})
 	if err != nil {
@@ -49,12 +61,19 @@
 	return &Store{db}, setAside, nil
 }
 
+// Acquire opens the store if no other process has it open; else it returns boltfile.ErrBusy.
+func (s *Store) Acquire() error { return s.db.Acquire() }
+
 // Close closes the store's file.
 func (s *Store) Close() error { return s.db.Close() }
 
 // Load returns the last good version, or nil if there is none, and the versions that must not be applied again.
 func (s *Store) Load() (c *configversion.Config, rejected []configversion.Number, err error) {
-	err = s.db.View(func(tx *bbolt.Tx) error {
+	return load(s.db)
+}
+
+func load(db boltfile.Reader) (c *configversion.Config, rejected []configversion.Number, err error) {
+	err = db.View(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(stateBucket)
 		if text := b.Get(rejectedKey); text != nil {
 			if err := json.Unmarshal(text, &rejected); err != nil {
--- a/internal/xdsclient/store_test.go
+++ b/internal/xdsclient/store_test.go
@@ -107,7 +107,6 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	s.db.NoSync = true
 	for i := range maxHistoryEntries + 50 {
 		if err := s.AppendHistory(HistoryEntry{Version: configversion.Number(i)}); err != nil {
 			t.Fatal(err)
