A chunk of size 0 before its data no longer ends a broken stream as whole

Cause: after a size of 0 readTrailer took any lines for a trailer, and an event is such lines; a space before a size was skipped, and a stream that ended within a line was whole. A trailer now has CRLF and valid field names that no event has, and a stream ends at a line's end.

TestStreamWithAnUnfitLastChunkIsNotWhole: 12 of 12 broken forms were whole before, all are broken after; 6 sound forms are whole in both. Packages httpwire and gateway pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,6 +178,9 @@
 			if !body.Delimited() {
 				return balancer.ConnBroken, false
 			}
+			if observer.InLine() {
+				return balancer.Malformed, false
+			}
 			return balancer.Served, endsCleanly(conn, head, body)
 		}
 		if err != nil {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -72,6 +72,48 @@
 	}
 }
 
+// Guards against a broken stream that is ended as if it were whole, where a chunk's size doesn't fit its data (issue 74,
+// record 2): a size of 0 made the reader take the data for a trailer, and so for the stream's end.
+func TestStreamWithAnUnfitLastChunkIsNotWhole(t *testing.T) {
+	const crlfEvent = "data: {\"choices\":[]}\r\n\r\n"
+	for name, text := range map[string]string{
+		"an event follows":                "0\r\n" + event2 + "\r\n",
+		"an event with CRLF follows":      "0\r\n" + crlfEvent + "\r\n",
+		"a load report follows":           "0\r\n" + loadReportLine + "\r\n",
+		"an event with a name follows":    "0\r\nevent: done\r\ndata: x\r\n\r\n",
+		"the rest of an event follows":    chunk("da") + "0\r\nta: x\r\n\r\n",
+		"no field follows":                "0\r\nabc\r\n\r\n",
+		"a field without a name follows":  "0\r\n: x\r\n\r\n",
+		"a folded line follows":           "0\r\nX: y\r\n z\r\n\r\n",
+		"the empty line has no CR":        "0\r\n\n",
+		"a space before the size":         " 0\r\n\r\n",
+		"a tab before the size":           "\t5\r\nabcd\n\r\n" + lastChunk,
+		"the last line of an event lacks": chunk("data: {\"choi") + lastChunk,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startGateway(t, nil, newFakeReplica(t, "s-1", replyWith(streamHead+chunk(event1)+text, true)))
+			c := dial(t, g.addr)
+			c.sendRequest("u1", "4000m")
+			if got, err := io.ReadAll(c.readHead().Body); !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("read %q, %v; want the connection to end without the last chunk", got, err)
+			}
+		})
+	}
+	for name, text := range map[string]string{
+		"no trailer": lastChunk, "a trailer": "0\r\nX-Checksum: 5f\r\n\r\n", "an extension": "0;a=b\r\n\r\n", "zeros": "000\r\n\r\n",
+		"a space after the size": "0 \r\n\r\n", "a report in its last line": chunk(": Srv-Load: x0=0.4") + lastChunk,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startGateway(t, nil, newFakeReplica(t, "s-1", replyWith(streamHead+chunk(event1)+text, true)))
+			c := dial(t, g.addr)
+			c.sendRequest("w1", "4000m")
+			if got, err := io.ReadAll(c.readHead().Body); err != nil || !strings.HasPrefix(string(got), event1) {
+				t.Errorf("read %q, %v; want a whole stream", got, err)
+			}
+		})
+	}
+}
+
 // A stream that is malformed before its first event was relayed is retried at the other replica.
 // One that is malformed later closes the client's connection, and no unparsed bytes are relayed.
 func TestMalformedStreams(t *testing.T) {
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 )
@@ -140,7 +141,7 @@
 		return 0, err
 	}
 	digits, _, _ := strings.Cut(line, ";") // an extension may follow
-	size, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 32)
+	size, err := strconv.ParseUint(strings.TrimRight(digits, " \t"), 16, 32)
 	if err != nil {
 		return 0, fmt.Errorf("%w: invalid chunk size %.20q", ErrMalformed, line)
 	}
@@ -150,21 +151,43 @@
 	return size, nil
 }
 
-// readTrailer reads the trailer that follows the last chunk. It returns io.EOF if the trailer is well-formed.
+// readTrailer reads the trailer that follows the last chunk. It returns io.EOF if the trailer is well-formed. What
+// isn't is taken for the data of a chunk whose size is wrong, so that the body isn't taken for complete.
 func (b *Body) readTrailer() error {
-	for read := 0; read <= maxTrailerBytes; {
-		line, err := b.readLine(maxTrailerBytes)
+	var fields strings.Builder
+	for fields.Len() <= maxTrailerBytes {
+		line, err := b.readLineCRLF(maxTrailerBytes)
 		if err != nil {
 			return err
 		}
+		fields.WriteString(line + "\r\n")
 		if line == "" {
-			return io.EOF
+			return checkTrailer(fields.String())
 		}
-		read += len(line)
 	}
 	return fmt.Errorf("%w: trailer exceeds the limit", ErrMalformed)
 }
 
+// eventStreamFields are the fields of an event stream. Their lines look like those of a trailer.
+var eventStreamFields = []string{"Data", "Event", "Id", "Retry"}
+
+// checkTrailer returns io.EOF for the lines of a well-formed trailer, and otherwise an ErrMalformed.
+func checkTrailer(lines string) error {
+	if strings.HasPrefix(lines, " ") || strings.HasPrefix(lines, "\t") || strings.Contains(lines, "\n ") || strings.Contains(lines, "\n\t") {
+		return fmt.Errorf("%w: folded line in the trailer", ErrMalformed)
+	}
+	fields, err := textproto.NewReader(bufio.NewReader(strings.NewReader(lines))).ReadMIMEHeader()
+	if err != nil {
+		return fmt.Errorf("%w: trailer: %s", ErrMalformed, err.Error())
+	}
+	for _, name := range eventStreamFields {
+		if _, found := fields[name]; found {
+			return fmt.Errorf("%w: an event in place of the trailer", ErrMalformed)
+		}
+	}
+	return io.EOF
+}
+
 // readChunkEnd reads the line end that follows a chunk's data.
 func (b *Body) readChunkEnd() error {
 	line, err := b.readLine(maxChunkSizeLine)
@@ -189,6 +212,22 @@
 	return strings.TrimSuffix(string(line[:len(line)-1]), "\r"), nil
 }
 
+// readLineCRLF is like readLine, but the line must end with CRLF. An event's lines end with LF.
+func (b *Body) readLineCRLF(limit int) (string, error) {
+	line, err := b.reader.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || len(line) > limit {
+		return "", fmt.Errorf("%w: line exceeds %d bytes", ErrMalformed, limit)
+	}
+	if err != nil {
+		return "", unexpectedEOF(err)
+	}
+	text, found := strings.CutSuffix(string(line), "\r\n")
+	if !found {
+		return "", fmt.Errorf("%w: line of the trailer without CRLF", ErrMalformed)
+	}
+	return text, nil
+}
+
 // chunkReader reads a chunked body as a stream, without regard to chunk boundaries.
 type chunkReader struct {
 	body      *Body
--- a/internal/httpwire/streamobserver.go
+++ b/internal/httpwire/streamobserver.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// InLine reports whether the bytes so far end within a line, so that the stream is not complete. A comment's line doesn't
+// count, since it is not part of an event.
+func (o *StreamObserver) InLine() bool {
+	return o.skipLine || len(o.line) > 0 && o.line[0] != ':'
+}
+
 // observeLine parses the load report in a comment line, or the usage in a data line.
 func (o *StreamObserver) observeLine(line []byte) {
 	if report, ok := bytes.CutPrefix(line, []byte(": "+headerLoadReport+":")); ok {
