A long answer is not cut off while its replica writes a chunk slowly

Cause: silence was counted from one whole chunk to the next. Any bytes count now, with a minute at most for one event, and complete events of an arriving chunk go on at once, up to a line that no event has, since the size of the chunk may be wrong. The reading of streams has its own file.

TestSlowlyWrittenChunkIsRelayedAsItComes: cut off before the second of six events before; passes after, each event within 0.3 s, and under the race detector. Packages httpwire and gateway pass with -race.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -145,50 +143,6 @@
 	return status, err == nil && endsCleanly(conn, head, body) && status != balancer.Rejected
 }
 
-// readStream reads the events of a 200 response into attempt.Events, and reports whether the
-// connection can be reused.
-func (x *attemptExchange) readStream(conn *connpool.Conn, head responseHead, body *httpwire.Body, result *attemptEnded) (status balancer.Status, reusable bool) {
-	var observer httpwire.StreamObserver
-	var firstEvent []byte // held back until complete: if the stream breaks within it, the client has received nothing
-	for opened := false; ; {
-		events, err := body.Next()
-		ended := errors.Is(err, io.EOF)
-		observer.Write(events)
-		if !opened {
-			firstEvent = append(firstEvent, events...)
-			events = nil
-			opened = httpwire.EndsEvent(firstEvent) || len(firstEvent) >= maxPartialEventBytes || ended
-			if opened {
-				events = firstEvent
-				x.gateway.loop.events <- streamOpened{x.attempt}
-			}
-		}
-		if len(events) > 0 {
-			select {
-			case x.attempt.Events <- bytes.Clone(events):
-			case <-x.attempt.Ctx.Done():
-				return balancer.Cancelled, false
-			}
-			// From the first event on only the idle timeout applies. Nothing else detects a machine
-			// that dies, which leaves its connection open.
-			conn.SetDeadline(time.Now().Add(x.gateway.options.StreamIdleTimeout))
-		}
-		if ended {
-			result.observe(&observer, head.Header)
-			if !body.Delimited() {
-				return balancer.ConnBroken, false
-			}
-			if observer.InLine() {
-				return balancer.Malformed, false
-			}
-			return balancer.Served, endsCleanly(conn, head, body)
-		}
-		if err != nil {
-			return x.failureStatus(err, balancer.ConnBroken), false
-		}
-	}
-}
-
 // observe copies the usage and the load report of a complete stream. A report in the stream
 // takes precedence over one in the header.
 func (e *attemptEnded) observe(observer *httpwire.StreamObserver, header http.Header) {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -72,6 +73,78 @@
 	}
 }
 
+// Guards against a long answer that is cut off, or whose events are held back, while its replica writes a chunk slowly (issue 74,
+// record 2): the time without an event counted whole chunks.
+func TestSlowlyWrittenChunkIsRelayedAsItComes(t *testing.T) {
+	const (
+		events     = 5
+		idle       = 500 * time.Millisecond
+		bytePause  = 5 * time.Millisecond
+		relayBound = 300 * time.Millisecond // of the operators' pages, from the replica's write to the client
+	)
+	written := make(chan time.Time, events)
+	replica := newFakeReplica(t, "s-1", func(c net.Conn, _ *http.Request) bool {
+		text := chunk(strings.Repeat(event1, events))
+		data := strings.Index(text, "\r\n") + 2
+		io.WriteString(c, streamHead+chunk(event1)+text[:data])
+		for i, b := range []byte(text[data:]) {
+			if _, err := c.Write([]byte{b}); err != nil {
+				return false
+			}
+			if (i+1)%len(event1) == 0 {
+				written <- time.Now()
+			}
+			time.Sleep(bytePause)
+		}
+		io.WriteString(c, lastChunk)
+		return true
+	})
+	g := startGateway(t, func(o *Options) { o.StreamIdleTimeout = idle }, replica)
+	c := dial(t, g.addr)
+	c.sendRequest("l1", "4000m")
+	resp := c.readHead()
+	begun := time.Now()
+	for i := range 1 + events {
+		event := make([]byte, len(event1))
+		if _, err := io.ReadFull(resp.Body, event); err != nil || string(event) != event1 {
+			t.Fatalf("event %d: %q, %v", i+1, event, err)
+		}
+		if i == 0 {
+			continue
+		}
+		if late := time.Since(<-written); late > relayBound {
+			t.Errorf("event %d came %v after it was written, want %v at most", i+1, late, relayBound)
+		}
+	}
+	if rest, err := io.ReadAll(resp.Body); err != nil || len(rest) > 0 {
+		t.Errorf("at the end %q, %v", rest, err)
+	}
+	if took := time.Since(begun); took < 2*idle {
+		t.Errorf("the answer took %v, too short for this test", took)
+	}
+}
+
+// Of a chunk that doesn't come to its end only complete events are relayed, and nothing that belongs to no event, such as the
+// size of a further chunk within a chunk whose size is too large.
+func TestNothingButEventsIsRelayedOfAnIncompleteChunk(t *testing.T) {
+	tooLarge := fmt.Sprintf("%x\r\n%s\r\n%s", len(event1)+100, event1, chunk(event1))
+	for name, c := range map[string]struct{ text, want string }{
+		"a size too large":   {chunk(event1) + tooLarge, event1 + event1},
+		"part of an event":   {chunk(event1) + "ff\r\n" + event1 + "data: half", event1 + event1},
+		"no event":           {chunk(event1) + "ff\r\nabc\n\n", event1},
+		"the rest of a line": {chunk(event1+"da") + "ff\r\nta: x\n\nabc\n\n", event1 + "data: x\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startGateway(t, func(o *Options) { o.StreamIdleTimeout = 200 * time.Millisecond }, newFakeReplica(t, "s-1", replyWith(streamHead+c.text, true)))
+			client := dial(t, g.addr)
+			client.sendRequest("n1", "4000m")
+			if got, err := io.ReadAll(client.readHead().Body); !errors.Is(err, io.ErrUnexpectedEOF) || string(got) != c.want {
+				t.Errorf("read %q, %v; want %q and the end of the connection", got, err, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a broken stream that is ended as if it were whole, where a chunk's size doesn't fit its data (issue 74,
 // record 2): a size of 0 made the reader take the data for a trailer, and so for the stream's end.
 func TestStreamWithAnUnfitLastChunkIsNotWhole(t *testing.T) {
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -26,6 +26,7 @@
 	chunked   bool
 	remaining int64 // unread bytes of an unchunked body; negative: the body ends with the connection
 	buf       []byte
+	onPartial func(chunk []byte) // may be nil
 }
 
 // NewBody returns the body that follows the head resp, which ReadHead has read from r.
@@ -33,13 +34,17 @@
 	return &Body{reader: r, chunked: len(resp.TransferEncoding) > 0, remaining: resp.ContentLength}
 }
 
+// OnPartialChunk makes Next call a function with the data of a chunk so far, whenever more of the chunk has arrived and it
+// is not complete. The chunk may turn out to be malformed. The data is valid until the function returns.
+func (b *Body) OnPartialChunk(call func(chunk []byte)) { b.onPartial = call }
+
 // Delimited reports whether a length or the chunked encoding marks the body's end. Otherwise the body ends with
 // the connection, and a complete body cannot be told from a truncated one.
 func (b *Body) Delimited() bool { return b.chunked || b.remaining >= 0 }
 
 // Next returns the next part of the body, valid until the next call, and io.EOF at the end. A chunk is returned
-// as a whole, once it has arrived and matches its size; no part of a malformed chunk is returned. The buffer grows
-// with the bytes received, not with the size that the chunk's first line announces.
+// as a whole, once it has arrived and matches its size; no part of a malformed chunk is returned. OnPartialChunk gives
+// its parts earlier. The buffer grows with the bytes received, not with the size that the chunk's first line announces.
 func (b *Body) Next() ([]byte, error) {
 	if b.chunked {
 		return b.readChunk()
@@ -124,6 +129,9 @@
 		if err != nil {
 			return nil, unexpectedEOF(err)
 		}
+		if b.onPartial != nil && len(b.buf) < total {
+			b.onPartial(b.buf[:min(len(b.buf), int(size))])
+		}
 	}
 	if string(b.buf[size:]) != lineEnd {
 		return nil, errChunkOverrun
--- a/internal/httpwire/streamobserver.go
+++ b/internal/httpwire/streamobserver.go
@@ -7,11 +7,6 @@
 	"archknot/balancer"
 )
 
-// EndsEvent reports whether b ends with the empty line that ends an event of a stream.
-func EndsEvent(b []byte) bool {
-	return bytes.HasSuffix(b, []byte("\n\n")) || bytes.HasSuffix(b, []byte("\n\r\n")) || bytes.HasSuffix(b, []byte("\r\r"))
-}
-
 // maxObservedLine bounds the line that a StreamObserver buffers, in bytes. The lines that it parses are shorter.
 const maxObservedLine = 4096
 
@@ -20,6 +15,7 @@
 type StreamObserver struct {
 	CachedTokens int // prompt tokens that the replica had cached
 	OutputTokens int
+	EventCount   int // events so far, by the empty lines that end them
 	Report       balancer.LoadReport
 
 	line     []byte
@@ -53,6 +49,10 @@
 
 // observeLine parses the load report in a comment line, or the usage in a data line.
 func (o *StreamObserver) observeLine(line []byte) {
+	if len(line) == 0 {
+		o.EventCount++
+		return
+	}
 	if report, ok := bytes.CutPrefix(line, []byte(": "+headerLoadReport+":")); ok {
 		o.Report = ParseLoadReport(string(report))
 		return
