Heads of many short fields no longer pass the memory limit

Cause: a head was bounded by its bytes, a field takes many times those of its line once parsed, and only bodies reserved memory. A head now has 100 fields at most, counted before the server parses them, and what is large in heads shares a tenth of the limit; usual heads need no reservation.

--- a/internal/gateway/clientconn.go
+++ b/internal/gateway/clientconn.go
@@ -48,6 +48,8 @@
 	idleSince    balancer.Micros         // when the connection was accepted or its last request was answered
 	answered     int                     // requests answered
 	framing      httpwire.RequestFraming // framing of all bytes read
+	headMemory   int64                   // reserved for the heads of requests that are not answered
+	headError    error                   // why no more of a head is read; nil: nothing is wrong with it
 	reason       closeReason             // the first cause of the close
 }
 
@@ -99,6 +101,9 @@
 	if c.readClosed {
 		return 0, true, io.EOF
 	}
+	if c.headError != nil {
+		return c.refuseHead()
+	}
 	n, err = readOnce(fd, p)
 	switch {
 	case errors.Is(err, syscall.EAGAIN):
@@ -112,24 +117,30 @@
 		c.setCloseReason(closedByClient)
 		return 0, true, io.EOF
 	}
-	c.recordRead(fd, p[:n])
+	n = c.recordRead(fd, p[:n])
+	c.headError = c.reserveHeadMemory()
+	if c.headError != nil && (n == 0 || !c.hasUnanswered()) {
+		return c.refuseHead()
+	}
 	return n, true, nil
 }
 
 // recordRead updates the framing state with the bytes just read. If a request has both a
 // Content-Length and a Transfer-Encoding, its end is ambiguous, and so is the start of the next
 // one. The HTTP server drops the Content-Length without reporting it, so the pair can only be
-// detected here, before the server parses the bytes. The caller holds mu.
-func (c *clientConn) recordRead(fd int, p []byte) {
-	c.framing.Write(p)
+// detected here, before the server parses the bytes. It returns how many of the bytes the server
+// may parse. The caller holds mu.
+func (c *clientConn) recordRead(fd int, p []byte) (accepted int) {
+	accepted = c.framing.Write(p)
 	// An empty line after a request does not begin a new request.
 	if c.requestStart != 0 || c.framing.Ambiguity == "" && !c.framing.RequestStarted(c.answered) {
-		return
+		return accepted
 	}
 	c.requestStart = c.arrivalTime(fd, c.tracker.clock.now())
 	if c.used { // the idle timeout does not apply once a request has begun
 		_ = c.SetReadDeadline(time.Now().Add(requestHeadTimeout))
 	}
+	return accepted
 }
 
 // arrivalTime returns when the bytes just read arrived at this machine. They may have waited in
@@ -177,6 +188,7 @@
 	c.used, c.idleSince = true, now
 	c.answered++
 	c.requestStart = 0
+	c.releaseHeadMemory()
 	if c.framing.RequestStarted(c.answered) { // part of the next request was read with it
 		c.requestStart = now
 		return
--- a/internal/gateway/clienttracker.go
+++ b/internal/gateway/clienttracker.go
@@ -24,6 +24,9 @@
 	maxConns      atomic.Int64
 	overflowConns int          // connections accepted beyond maxConns
 	bodyBytes     atomic.Int64 // memory reserved for request bodies
+	headBytes     atomic.Int64 // memory reserved for large request heads
+	maxHeadBytes  int64        // limit of headBytes
+	headMemoryLog rateLimitedLog
 
 	drainedAt  atomic.Int64 // when operators drained the gateway; 0: not drained
 	shutdownAt atomic.Int64 // when the shutdown of the process began; 0: not begun
@@ -37,10 +40,11 @@
 	connClosed  chan struct{}       // signals that a connection was removed
 }
 
-func newClientTracker(maxConns, overflowConns int, clock monotonicClock) *clientTracker {
+func newClientTracker(maxConns, overflowConns int, maxHeadBytes int64, clock monotonicClock) *clientTracker {
 	t := &clientTracker{
 		clock:         clock,
 		overflowConns: overflowConns,
+		maxHeadBytes:  maxHeadBytes,
 		conns:         map[*clientConn]struct{}{},
 		inFlightIDs:   map[string]struct{}{},
 		connClosed:    make(chan struct{}, 1),
--- a/internal/gateway/connclose.go
+++ b/internal/gateway/connclose.go
@@ -153,6 +153,9 @@
 		}
 		c.tracker.remove(c)
 		c.tracker.recordClose(c)
+		c.mu.Lock()
+		c.releaseHeadMemory()
+		c.mu.Unlock()
 		err = c.Conn.Close()
 	})
 	return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,7 +95,7 @@
 		discoveryTimeout: options.DiscoveryTimeout,
 	})
 	g.replacesProcess = g.hasPredecessor()
-	g.clients = newClientTracker(options.MaxClientConns, options.OverflowConns, g.clock)
+	g.clients = newClientTracker(options.MaxClientConns, options.OverflowConns, options.MaxHeadBytes, g.clock)
 	var err error
 	if g.loop, err = newEventLoop(g); err != nil {
 		return nil, err
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -26,6 +26,7 @@
 	OverflowConns          int   // accepted beyond MaxClientConns, to answer that the gateway is at capacity
 	MaxReplicaConns        int   // connections to replicas at once
 	MaxBodyBytes           int64 // of all requests' bodies in memory
+	MaxHeadBytes           int64 // of all requests' large heads in memory
 	MaxListEntries         int   // of an endpoint list; 0: no bound
 	ConnectTimeout         time.Duration
 	ReplicaConnIdleTimeout time.Duration // when an idle connection to a replica is closed
--- a/internal/httpwire/framing.go
+++ b/internal/httpwire/framing.go
@@ -11,6 +11,8 @@
 // value is ready to use.
 type RequestFraming struct {
 	Ambiguity        string // why a length is ambiguous; "" if none is. Once it is set, Write ignores all bytes
+	TooManyFields    bool   // a head, with its trailer, has more than MaxHeadFields fields. Once it is set, Write accepts no bytes
+	HeadBytes        int    // bytes so far of the head, and trailer, of the request that is arriving
 	CompleteHeads    int    // request heads that have arrived
 	CompleteRequests int    // requests whose heads and bodies have arrived
 
@@ -22,6 +24,7 @@
 	contentLength         string
 	contentLengthCount    int
 	transferEncodingCount int
+	fieldCount            int
 	remaining             int64 // bytes of the body or chunk that have not arrived yet
 }
 
@@ -37,12 +40,21 @@
 	inTrailer
 )
 
+// MaxHeadFields bounds the fields of a request's head. In memory a field takes many times the bytes of its line, if that
+// is short.
+const MaxHeadFields = 100
+
 // maxFramingLine is the number of bytes of a line that are parsed. No well-formed line that gives a body's length is
 // longer.
 const maxFramingLine = 256
 
-// Write parses the next bytes of the connection.
-func (f *RequestFraming) Write(p []byte) {
+// Write parses the next bytes of the connection, and returns how many of them may be served: those before the line with
+// the first field beyond MaxHeadFields.
+func (f *RequestFraming) Write(p []byte) (accepted int) {
+	total := len(p)
+	if f.TooManyFields {
+		return 0
+	}
 	for len(p) > 0 && f.Ambiguity == "" {
 		if f.state == inBody || f.state == inChunk {
 			n := min(f.remaining, int64(len(p)))
@@ -57,13 +69,28 @@
 		f.lineTruncated = f.lineTruncated || len(f.line)+len(part) > maxFramingLine
 		room := maxFramingLine - len(f.line)
 		f.line = append(f.line, part[:min(room, len(part))]...)
+		if f.state == inHead || f.state == inTrailer {
+			f.HeadBytes += len(part)
+		}
 		if !lineComplete {
-			return
+			return total
 		}
+		lineStart := total - len(p)
 		p = remainder
 		f.handleLine(strings.TrimSuffix(string(f.line), "\r"))
 		f.line, f.lineTruncated = f.line[:0], false
+		if f.TooManyFields {
+			return lineStart
+		}
 	}
+	if f.Ambiguity != "" { // the server still parses the rest of the head, of which each line may be a field
+		f.fieldCount += bytes.Count(p, []byte{'\n'})
+		f.TooManyFields = f.fieldCount > MaxHeadFields
+	}
+	if f.TooManyFields {
+		return total - len(p)
+	}
+	return total
 }
 
 // RequestStarted reports whether any part has arrived of the request that follows the given number of preceding
@@ -94,9 +121,19 @@
 			f.Ambiguity = "chunk data longer than the chunk size"
 		}
 	case inTrailer:
-		if line == "" {
-			f.endSection()
-		}
+		f.handleTrailerLine(line)
+	}
+}
+
+// handleTrailerLine handles a field of the trailer, or the empty line that ends it.
+func (f *RequestFraming) handleTrailerLine(line string) {
+	switch {
+	case line == "":
+		f.endSection()
+	case f.fieldCount == MaxHeadFields:
+		f.TooManyFields = true
+	default:
+		f.fieldCount++
 	}
 }
 
@@ -109,7 +146,10 @@
 	case !f.requestLineSeen:
 		f.requestLineSeen = true
 		f.notHTTP11 = f.lineTruncated || !strings.HasSuffix(line, " HTTP/1.1")
+	case f.fieldCount == MaxHeadFields:
+		f.TooManyFields = true
 	default:
+		f.fieldCount++
 		f.handleHeader(line)
 	}
 }
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -108,3 +108,39 @@
 		}
 	}
 }
+
+// Of a head with too many fields the server parses no more than MaxHeadFields, wherever the reads end, and an earlier request is
+// served whole.
+func TestFieldsOfAHeadAreBounded(t *testing.T) {
+	const start = "POST / HTTP/1.1\r\n"
+	fields := func(n int) string { return strings.Repeat("a:\r\n", n) }
+	whole := start + "Content-Length: 2\r\n" + fields(MaxHeadFields-1) + "\r\nab"
+	for name, c := range map[string]struct {
+		text     string
+		accepted int
+	}{
+		"as many as allowed":         {whole + whole, 2 * len(whole)},
+		"one more":                   {whole + start + fields(MaxHeadFields+1), len(whole) + len(start+fields(MaxHeadFields))},
+		"many more":                  {start + fields(3000) + "\r\n", len(start + fields(MaxHeadFields))},
+		"in a trailer":               {start + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + fields(MaxHeadFields), len(start+"Transfer-Encoding: chunked\r\n\r\n0\r\n") + len(fields(MaxHeadFields-1))},
+		"after an ambiguous header":  {start + " folded\r\n" + fields(3000), -1},
+		"after an invalid body size": {start + "Content-Length: x\r\n\r\n" + fields(3000), -1},
+	} {
+		var atOnce, bytewise RequestFraming
+		accepted := atOnce.Write([]byte(c.text))
+		steps := 0
+		for steps < len(c.text) && bytewise.Write([]byte{c.text[steps]}) == 1 {
+			steps++
+		}
+		if c.accepted < 0 {
+			if !atOnce.TooManyFields || !bytewise.TooManyFields || strings.Count(c.text[:accepted], "\n") > MaxHeadFields+2 || strings.Count(c.text[:steps], "\n") > MaxHeadFields+2 {
+				t.Errorf("%s: accepted %d bytes at once, %d one by one", name, accepted, steps)
+			}
+			continue
+		}
+		// Byte by byte the line with the field too many is known at its end only.
+		if accepted != c.accepted || steps < c.accepted || steps > c.accepted+len("a:\r\n") || atOnce.TooManyFields != bytewise.TooManyFields {
+			t.Errorf("%s: accepted %d at once, %d one by one, want %d", name, accepted, steps, c.accepted)
+		}
+	}
+}
--- a/internal/lifecycle/resourcelimits.go
+++ b/internal/lifecycle/resourcelimits.go
@@ -38,6 +38,8 @@
 	mebibyte = 1 << 20
 	// bodyMemoryFraction is for request bodies in memory at the same time.
 	bodyMemoryFraction = 0.2
+	// headMemoryFraction is for large request heads in memory at the same time.
+	headMemoryFraction = 0.1
 	// heapMemoryFraction is the soft memory limit of the Go runtime, which makes the garbage collector work harder.
 	heapMemoryFraction = 0.7
 	// endpointListMemoryFraction is for discovery's endpoint list.
@@ -87,5 +89,6 @@
 	o.OverflowConns = int(usable * overflowConnFraction)
 	o.MaxReplicaConns = int(usable * replicaConnFraction)
 	o.MaxBodyBytes = int64(l.memoryMB * bodyMemoryFraction * mebibyte)
+	o.MaxHeadBytes = int64(l.memoryMB * headMemoryFraction * mebibyte)
 	o.MaxListEntries = int(l.memoryMB * endpointListMemoryFraction * mebibyte / endpointBytes)
 }
