An id of a gone client does not run again within a minute

Cause: ids were known only while their client waited. The id of a request that may have run and must not run twice is now refused with 409 for a minute, 4,096 ids at most; an attempt is counted before the last check whether its client is there.

--- a/cmd/archknot/upgrade_test.go
+++ b/cmd/archknot/upgrade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"net/http"
 	"syscall"
 	"testing"
@@ -80,3 +81,32 @@
 		})
 	}
 }
+
+// onceConfigFormat is the configuration of a gateway whose only class must not run twice.
+const onceConfigFormat = `{"name":"g","listen":"%s","discovery":"%s","admin":"%s","limits":{"cores":1,"memory_mb":64,"sockets":512},
+ "settings":{"nInstances":1,"selfIndex":0,"zone":"a","zones":["a"],"limits":{"maxAttempts":1,"connIdleUs":60000000,"connectTimeoutUs":500000,"mostHeld":2000},
+  "rules":{"askWithinUs":10000000,"startCapacity":0.5},"requestClasses":[{"name":"chat","targetUs":1000000,"deadlineUs":3000000,"effect":"once","streamed":true}]}}`
+
+// Guards against a request that runs twice when its id comes again, after its client has left, at the other process of an
+// upgrade (issue 74, picture d).
+func TestIDDoesNotRunAgainInTheOtherProcess(t *testing.T) {
+	d := newDeployment(t, 1)
+	d.platformConfig = func(adminAddr string) string {
+		return fmt.Sprintf(onceConfigFormat, d.addr, d.discovery.addr, adminAddr)
+	}
+	old := d.start()
+	d.waitUntilReady(old)
+	c := old.dial(t)
+	c.send(requestText("same", "hold"))
+	waitUntil(t, "the replica has the request", func() bool { return d.replicas[0].attemptsSince(time.Time{}) == 1 })
+	c.Close()
+	next := d.upgrade(old)
+	c = next.dial(t)
+	c.send(requestText("same", "-"))
+	if status, _, _ := c.readResponse(); status == http.StatusOK {
+		t.Errorf("status %d of an id that came again, want an error", status)
+	}
+	if n := d.replicas[0].attemptsSince(time.Time{}); n != 1 {
+		t.Errorf("the replica got the id %d times, want once", n)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,7 @@
 }
 
 // exchange sends the request and reads the response over one connection.
-func (x *attemptExchange) exchange(result *attemptEnded) balancer.Status {
+func (x *attemptExchange) exchange(result *attemptEnded) (status balancer.Status) {
 	attempt, pool := x.attempt, x.gateway.pool
 	timeoutAt := x.gateway.clock.timeAt(attempt.TimeoutAt)
 	ctx, stop := context.WithDeadline(attempt.Ctx, timeoutAt)
@@ -74,13 +74,21 @@
 	// The attempt may have been cancelled, or its client may have disconnected, while the attempt
 	// connected or waited to be scheduled. Nothing may be sent after that, and every attempt
 	// passes here before it sends.
+	attempt.Request.BeginSend()
 	if !x.lease.isHolder() || attempt.Request.ClientDisconnected() || attempt.Ctx.Err() != nil {
+		attempt.Request.RetractSend()
 		return balancer.Cancelled
 	}
 	if !x.gateway.acceptsWork(attempt) { // ejected or draining since the dispatch
+		attempt.Request.RetractSend()
 		reusable = true
 		return balancer.NotSent
 	}
+	defer func() {
+		if status.NeverRan() {
+			attempt.Request.RetractSend()
+		}
+	}()
 	x.lease.markDispatched()
 	conn.SetDeadline(timeoutAt)
 	err = x.sendRequest(conn)
@@ -94,7 +102,6 @@
 		return x.failureStatus(err, balancer.ConnBroken)
 	}
 	body := httpwire.NewBody(conn.Reader, head.Response)
-	var status balancer.Status
 	if head.StatusCode != http.StatusOK {
 		status, reusable = x.readErrorReply(conn, head, body, result)
 	} else {
--- a/internal/gateway/clientgone_test.go
+++ b/internal/gateway/clientgone_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -185,3 +186,61 @@
 		t.Errorf("%d requests stay in flight", l.requests.Len())
 	}
 }
+
+// Guards against a request that runs twice when its id comes again after its client has left (issue 74, picture d). One that
+// is proved not to have run is served again, and so is one of a class that may be repeated.
+func TestIDOfAGoneClientDoesNotRunAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		idempotency balancer.Idempotency
+		script      func(net.Conn, *http.Request) bool
+		leaves      bool // the client leaves while the replica runs its request; else it waits for the answer
+		runs        int
+		status      int // of the second request
+	}{
+		"once, client leaves":       {balancer.NonIdempotent, neverAnswer, true, 1, http.StatusConflict},
+		"by key, client leaves":     {balancer.IdempotentWithKey, neverAnswer, true, 1, http.StatusConflict},
+		"once, served":              {balancer.NonIdempotent, answerCompletely, false, 1, http.StatusConflict},
+		"once, never ran":           {balancer.NonIdempotent, replyWith(shedReply, true), false, 2, http.StatusServiceUnavailable},
+		"repeatable, client leaves": {balancer.Idempotent, neverAnswer, true, 2, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replica := newFakeReplica(t, "s-1", c.script)
+			g := startGateway(t, func(o *Options) {
+				o.Settings.Classes[0].Idempotency = c.idempotency
+				o.Settings.Classes[0].DedupWindow = 5e6
+				o.Settings.MaxAttempts = 1
+			}, replica)
+			first := dial(t, g.addr)
+			first.sendRequest("same", "1000m")
+			waitUntil(t, "the replica has the request", func() bool { _, n := replica.counts(); return n == 1 })
+			if c.leaves {
+				first.Close()
+			} else {
+				first.readAnswer()
+			}
+			waitUntil(t, "the request has ended", func() bool { return g.clients.inFlightCount() == 0 })
+			second := dial(t, g.addr)
+			second.sendRequest("same", "300m")
+			if resp, _ := second.readAnswer(); c.status != 0 && resp.StatusCode != c.status {
+				t.Errorf("the second request: status %d, want %d", resp.StatusCode, c.status)
+			}
+			if _, runs := replica.counts(); runs != c.runs {
+				t.Errorf("the replica got it %d times, want %d", runs, c.runs)
+			}
+		})
+	}
+}
+
+// The ids that are remembered are bounded in number and time.
+func TestRecentIDsAreBounded(t *testing.T) {
+	var r recentIDs
+	for i := range maxRecentIDs + 10 {
+		r.add(1, fmt.Sprint(i))
+	}
+	if r.has(2, "9") || !r.has(2, "10") || len(r.queue) != maxRecentIDs || len(r.expiresAt) != maxRecentIDs {
+		t.Errorf("%d and %d ids are remembered", len(r.queue), len(r.expiresAt))
+	}
+	if r.has(1+recentIDPeriod.Microseconds(), "10") || len(r.queue) != 0 || len(r.expiresAt) != 0 {
+		t.Errorf("%d ids are remembered for too long", len(r.queue))
+	}
+}
--- a/internal/gateway/clienttracker.go
+++ b/internal/gateway/clienttracker.go
@@ -37,7 +37,8 @@
 	mu          sync.Mutex
 	conns       map[*clientConn]struct{}
 	inFlightIDs map[string]struct{} // client-assigned ids of the requests in flight
-	connClosed  chan struct{}       // signals that a connection was removed
+	recentIDs   recentIDs
+	connClosed  chan struct{} // signals that a connection was removed
 }
 
 func newClientTracker(maxConns, overflowConns int, maxHeadBytes int64, clock monotonicClock) *clientTracker {
@@ -53,29 +54,41 @@
 	return t
 }
 
-// beginRequest registers a request as in flight. It returns false if maxInFlight requests are in
-// flight already or one of them has the same id.
-func (t *clientTracker) beginRequest(id string, maxInFlight int) bool {
+// requestAdmission is the result of beginRequest.
+type requestAdmission uint8
+
+const (
+	requestAdmitted  requestAdmission = iota
+	requestDuplicate                  // a request with this id is in flight
+	requestRepeated                   // an earlier request with this id may have run and must not run again
+	requestOverLimit                  // as many requests are in flight as may be
+)
+
+// beginRequest registers a request as in flight, if it is admitted.
+func (t *clientTracker) beginRequest(id string, maxInFlight int) requestAdmission {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, duplicate := t.inFlightIDs[id]; duplicate || len(t.inFlightIDs) >= maxInFlight {
-		return false
+	_, duplicate := t.inFlightIDs[id]
+	switch {
+	case duplicate:
+		return requestDuplicate
+	case t.recentIDs.has(t.clock.now(), id):
+		return requestRepeated
+	case len(t.inFlightIDs) >= maxInFlight:
+		return requestOverLimit
 	}
 	t.inFlightIDs[id] = struct{}{}
-	return true
+	return requestAdmitted
 }
 
-func (t *clientTracker) endRequest(id string) {
+// endRequest ends a request. Its id is remembered if the request must not run again.
+func (t *clientTracker) endRequest(id string, mustNotRunAgain bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.inFlightIDs, id)
-}
-
-func (t *clientTracker) inFlight(id string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	_, ok := t.inFlightIDs[id]
-	return ok
+	if mustNotRunAgain {
+		t.recentIDs.add(t.clock.now(), id)
+	}
 }
 
 func (t *clientTracker) inFlightCount() int {
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -22,6 +22,8 @@
 	rejectAmbiguousFraming = &rejection{http.StatusBadRequest, "Content-Length, Transfer-Encoding: one of them, once"}
 	// rejectDuplicateID: a request with this id is in flight; a replica would run it twice.
 	rejectDuplicateID = &rejection{http.StatusConflict, "Req-Id: that of a request in hand"}
+	// rejectRepeatedID: an earlier request with this id may have run, and its class must not run twice.
+	rejectRepeatedID = &rejection{http.StatusConflict, "Req-Id: that of an earlier request, which may have run"}
 	// rejectBodyTooLarge: the body exceeds the protocol's limit.
 	rejectBodyTooLarge = &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("body: over %d bytes", httpwire.MaxBodyBytes)}
 	// bodyMemoryExhausted: the memory reserved for request bodies is in use.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -40,7 +40,7 @@
 	if !h.admit(w) {
 		return
 	}
-	defer g.clients.endRequest(h.request.ID)
+	defer h.endRequest()
 	ctx, rejected := h.acquireLease(r.Context(), r)
 	if rejected != nil {
 		g.reject(w, rejected)
@@ -109,18 +109,34 @@
 		shedDraining(w, &h.request, h.config)
 		return false
 	}
-	if !h.conn.overLimit && g.clients.beginRequest(h.request.ID, h.config.maxInFlight) {
-		return true
+	admission := requestOverLimit
+	if !h.conn.overLimit {
+		admission = g.clients.beginRequest(h.request.ID, h.config.maxInFlight)
 	}
-	if g.clients.inFlight(h.request.ID) {
+	switch admission {
+	case requestAdmitted:
+		return true
+	case requestDuplicate:
 		g.reject(w, rejectDuplicateID)
 		return false
+	case requestRepeated:
+		g.reject(w, rejectRepeatedID)
+		return false
 	}
 	g.capacityLog.log("at_capacity", "id", h.request.ID, "in_flight", g.clients.inFlightCount())
 	writeAtCapacity(w, h.config)
 	return false
 }
 
+// endRequest ends the request after its attempts were cancelled. One that may have run, and whose class must not run twice,
+// is not admitted again, whether its client has left or has been answered.
+func (h *requestHandler) endRequest() {
+	class, err := h.config.class(h.request.Request.Class)
+	repeatable := err == nil && class.Idempotency == balancer.Idempotent
+	mayHaveRun := h.inFlight != nil && h.inFlight.MayHaveRun()
+	h.gateway.clients.endRequest(h.request.ID, mayHaveRun && !repeatable)
+}
+
 // initInFlight creates the request's record that the event loop and the attempts share.
 func (h *requestHandler) initInFlight(ctx context.Context, cancel context.CancelFunc) {
 	maxAttempts := max(protocolMaxAttempts, h.gateway.options.Settings.MaxAttempts)
--- a/internal/inflight/request.go
+++ b/internal/inflight/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"archknot/balancer"
 	"archknot/internal/contract"
@@ -53,6 +54,7 @@
 	OverQuota       bool            // the request is over its team's rate or a soft limit
 
 	attemptsInFlight int
+	sentAttempts     atomic.Int32 // attempts that may have run
 }
 
 // NewRequest returns a request that is in no table yet. Actions has capacity for maxAttempts attempts, one
@@ -76,6 +78,17 @@
 	return r.Ctx.Err() != nil
 }
 
+// BeginSend counts an attempt that is about to be sent. It is called before the last check whether the client is still
+// there, so that MayHaveRun includes each attempt that passes the check. Any goroutine may call it.
+func (r *Request) BeginSend() { r.sentAttempts.Add(1) }
+
+// RetractSend takes back BeginSend for an attempt that is proved not to have run. Any goroutine may call it.
+func (r *Request) RetractSend() { r.sentAttempts.Add(-1) }
+
+// MayHaveRun reports whether an attempt may have run. Any goroutine may call it; the result is final for sends that
+// begin before Ctx ends.
+func (r *Request) MayHaveRun() bool { return r.sentAttempts.Load() > 0 }
+
 // AttemptsInFlight returns the number of the request's attempts that have not ended.
 func (r *Request) AttemptsInFlight() int { return r.attemptsInFlight }
 
