--- a/internal/ci/ci_test.go
+++ b/internal/ci/ci_test.go
@@ -22,6 +22,7 @@
 
 func TestGreen(t *testing.T) {}
 func TestOther(t *testing.T) {}
+func TestSkipped(t *testing.T) { t.Skip() }
 func TestRed(t *testing.T) { t.Error("planted") }
 `
 	const form = "expected 'folder.TestName | command | seed N | what was seen | issue N'"
@@ -41,6 +42,7 @@
 		"no newline":             {entry("TestRed"), true, true, "one TestRed fails, as listed"},
 		"with a seed":            {strings.Replace(entry("TestRed"), "no seed", "seed 7", 1), true, true, "one TestRed fails, as listed"},
 		"listed and passes":      {entry("TestGreen"), false, true, "one TestGreen passes now: take it off"},
+		"listed and skipped":     {entry("TestSkipped"), false, true, "one TestSkipped not run"},
 		"another one is red":     {entry("TestGreen"), true, false, "planted"},
 		"no issue":               {strings.TrimSuffix(entry("TestRed"), " | issue 32"), true, false, form},
 		"issue without a number": {strings.TrimSuffix(entry("TestRed"), "32"), true, false, form},
