The processes of an upgrade know each other's requests that must not run twice

Cause: neither process knew the ids of the other. At its end a process hands its ids over. The check of a Unix peer's user moved to sockets, where two packages use it.

--- a/cmd/archknot/upgrade_test.go
+++ b/cmd/archknot/upgrade_test.go
@@ -90,23 +90,33 @@
 // Guards against a request that runs twice when its id comes again, after its client has left, at the other process of an
 // upgrade (issue 74, picture d).
 func TestIDDoesNotRunAgainInTheOtherProcess(t *testing.T) {
-	d := newDeployment(t, 1)
-	d.platformConfig = func(adminAddr string) string {
-		return fmt.Sprintf(onceConfigFormat, d.addr, d.discovery.addr, adminAddr)
-	}
-	old := d.start()
-	d.waitUntilReady(old)
-	c := old.dial(t)
-	c.send(requestText("same", "hold"))
-	waitUntil(t, "the replica has the request", func() bool { return d.replicas[0].attemptsSince(time.Time{}) == 1 })
-	c.Close()
-	next := d.upgrade(old)
-	c = next.dial(t)
-	c.send(requestText("same", "-"))
-	if status, _, _ := c.readResponse(); status == http.StatusOK {
-		t.Errorf("status %d of an id that came again, want an error", status)
-	}
-	if n := d.replicas[0].attemptsSince(time.Time{}); n != 1 {
-		t.Errorf("the replica got the id %d times, want once", n)
+	for name, oldEnds := range map[string]bool{"beside the old process": false, "after its end": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			d.platformConfig = func(adminAddr string) string {
+				return fmt.Sprintf(onceConfigFormat, d.addr, d.discovery.addr, adminAddr)
+			}
+			old := d.start()
+			d.waitUntilReady(old)
+			c := old.dial(t)
+			c.send(requestText("same", "hold"))
+			waitUntil(t, "the replica has the request", func() bool { return d.replicas[0].attemptsSince(time.Time{}) == 1 })
+			c.Close()
+			if oldEnds {
+				d.upgrade(old)
+			} else {
+				d.waitUntilReady(d.start())
+			}
+			for range 8 { // beside each other, either process may accept a connection
+				c = old.dial(t)
+				c.send(requestText("same", "-"))
+				if status, _, _ := c.readResponse(); status == http.StatusOK {
+					t.Errorf("status %d of an id that came again, want an error", status)
+				}
+			}
+			if n := d.replicas[0].attemptsSince(time.Time{}); n != 1 {
+				t.Errorf("the replica got the id %d times, want once", n)
+			}
+		})
 	}
 }
--- a/internal/ci/layers_test.go
+++ b/internal/ci/layers_test.go
@@ -21,7 +21,7 @@
 	{"internal/endpoint", "internal/inflight", "internal/subset", "internal/maintenance", "internal/takeover", "internal/membership",
 		"internal/configversion", "internal/contract", "internal/capture", "internal/capturetrigger"},
 	{"internal/replay", "internal/contractsim", "internal/fleet", "internal/siteforecast"},
-	{"internal/gateway", "internal/peers", "internal/adminapi", "internal/controlsocket", "internal/metrics", "internal/xdsclient",
+	{"internal/gateway", "internal/peers", "internal/sibling", "internal/adminapi", "internal/controlsocket", "internal/metrics", "internal/xdsclient",
 		"internal/syncpoint", "internal/fakes", "internal/config"},
 	{"internal/lifecycle", "internal/experiment", "internal/faulttest", "internal/scaletest"},
 	{"internal/cli"},
--- a/internal/gateway/clienttracker.go
+++ b/internal/gateway/clienttracker.go
@@ -81,6 +81,30 @@
 	return requestAdmitted
 }
 
+// HasRequest implements sibling.Records.
+func (t *clientTracker) HasRequest(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, inFlight := t.inFlightIDs[id]
+	return inFlight || t.recentIDs.has(t.clock.now(), id)
+}
+
+// AddRequests implements sibling.Records.
+func (t *clientTracker) AddRequests(ids []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		t.recentIDs.add(t.clock.now(), id)
+	}
+}
+
+// recentRequests returns the ids of the requests that have ended and must not run again.
+func (t *clientTracker) recentRequests() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.recentIDs.queue)
+}
+
 // endRequest ends a request. Its id is remembered if the request must not run again.
 func (t *clientTracker) endRequest(id string, mustNotRunAgain bool) {
 	t.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -110,6 +111,11 @@
 	if options.Orders != nil {
 		options.Orders.OnChange(g.onOrdersChanged)
 	}
+	if options.Siblings != nil {
+		if err := options.Siblings.Serve(g.clients); err != nil {
+			slog.Warn("request_ids_not_shared", "err", err)
+		}
+	}
 	return g, nil
 }
 
@@ -167,6 +173,15 @@
 	return g.clients.waitUntilEmpty(ctx)
 }
 
+// HandOverRequestIDs gives the ids of requests that must not run again to the other processes of the gateway. It is called
+// after Drain.
+func (g *Gateway) HandOverRequestIDs() {
+	if g.options.Siblings != nil {
+		g.options.Siblings.HandOver(g.clients.recentRequests())
+		g.options.Siblings.Close()
+	}
+}
+
 // sleep waits for d, or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -8,6 +8,7 @@
 	"archknot/internal/httpwire"
 	"archknot/internal/maintenance"
 	"archknot/internal/peers"
+	"archknot/internal/sibling"
 	"archknot/internal/subset"
 )
 
@@ -44,6 +45,7 @@
 	Contracts      *Contracts         // nil: none
 	Ledger         *ledger.Store      // stores the teams' balances; nil: they are not stored
 	Peers          *peers.Service     // for take-overs between gateways; nil: none
+	Siblings       *sibling.Group     // other processes of this gateway, in an upgrade; nil: there are none
 	SharedListener bool               // other processes of this gateway accept on the same socket
 	Orders         *maintenance.Store // operators' orders; nil: there is no admin address
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -115,7 +115,7 @@
 	}
 	switch admission {
 	case requestAdmitted:
-		return true
+		return h.admitBesideSiblings(w)
 	case requestDuplicate:
 		g.reject(w, rejectDuplicateID)
 		return false
@@ -128,13 +128,38 @@
 	return false
 }
 
+// admitBesideSiblings rejects a request that must not run twice if another process of this gateway has had it, and sheds it
+// if that is not known. It is registered here by then, so that of two processes that ask each other none admits it.
+func (h *requestHandler) admitBesideSiblings(w http.ResponseWriter) bool {
+	g := h.gateway
+	if g.options.Siblings == nil || h.isRepeatable() {
+		return true
+	}
+	known, err := g.options.Siblings.HasRequest(h.request.ID)
+	if !known && err == nil {
+		return true
+	}
+	g.clients.endRequest(h.request.ID, false)
+	if known {
+		g.reject(w, rejectRepeatedID)
+		return false
+	}
+	g.capacityLog.log("request_id_not_checked", "id", h.request.ID, "err", err)
+	writeAtCapacity(w, h.config)
+	return false
+}
+
+// isRepeatable reports whether the class of the request may run any number of times.
+func (h *requestHandler) isRepeatable() bool {
+	class, err := h.config.class(h.request.Request.Class)
+	return err == nil && class.Idempotency == balancer.Idempotent
+}
+
 // endRequest ends the request after its attempts were cancelled. One that may have run, and whose class must not run twice,
 // is not admitted again, whether its client has left or has been answered.
 func (h *requestHandler) endRequest() {
-	class, err := h.config.class(h.request.Request.Class)
-	repeatable := err == nil && class.Idempotency == balancer.Idempotent
 	mayHaveRun := h.inFlight != nil && h.inFlight.MayHaveRun()
-	h.gateway.clients.endRequest(h.request.ID, mayHaveRun && !repeatable)
+	h.gateway.clients.endRequest(h.request.ID, mayHaveRun && !h.isRepeatable())
 }
 
 // initInFlight creates the request's record that the event loop and the attempts share.
--- a/internal/lifecycle/run.go
+++ b/internal/lifecycle/run.go
@@ -20,6 +20,7 @@
 	"archknot/internal/controlsocket"
 	"archknot/internal/gateway"
 	"archknot/internal/metrics"
+	"archknot/internal/sibling"
 	"archknot/internal/xdsclient"
 )
 
@@ -167,6 +168,9 @@
 	if o.Peers, err = startPeers(s.fileSettings.Peers, *o, s.mayReplaceProcess()); err != nil {
 		return err
 	}
+	if s.mayReplaceProcess() {
+		o.Siblings = sibling.New(o.Name, s.config.Listen)
+	}
 	if s.gateway, err = gateway.New(*o); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
--- a/internal/lifecycle/shutdown.go
+++ b/internal/lifecycle/shutdown.go
@@ -15,6 +15,7 @@
 	if s.controlSocket != nil {
 		s.controlSocket.Close()
 	}
+	s.gateway.HandOverRequestIDs()
 	if orders := s.config.Gateway.Orders; orders != nil {
 		_ = withShutdownTimeout(ctx, orders.Close) // the store logs a failure
 	}
--- a/internal/maintenance/handoff.go
+++ b/internal/maintenance/handoff.go
@@ -6,13 +6,12 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"archknot/internal/sockets"
 )
 
 // handoffTimeout bounds one exchange over the handoff socket.
@@ -82,7 +81,7 @@
 		if err != nil {
 			return
 		}
-		if isSameUser(conn) {
+		if sockets.IsSameUser(conn) {
 			_ = conn.SetDeadline(time.Now().Add(handoffTimeout))
 			_, _ = conn.Write(s.snapshot()) // a process that did not receive it sends another query
 		}
@@ -131,7 +130,7 @@
 		return state{}, otherUnresponsive
 	}
 	defer conn.Close()
-	if !isSameUser(conn) {
+	if !sockets.IsSameUser(conn) {
 		return state{}, noOtherProcess
 	}
 	_ = conn.SetDeadline(time.Now().Add(handoffTimeout))
@@ -155,26 +154,3 @@
 		}
 	}
 }
-
-// peerCredentials returns the credentials of the process at the other end of a Unix socket; nil if they
-// cannot be read.
-func peerCredentials(conn net.Conn) *unix.Ucred {
-	unixConn, ok := conn.(*net.UnixConn)
-	if !ok {
-		return nil
-	}
-	raw, err := unixConn.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	var credentials *unix.Ucred
-	_ = raw.Control(func(fd uintptr) {
-		credentials, _ = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED) // nil on error
-	})
-	return credentials
-}
-
-func isSameUser(conn net.Conn) bool {
-	credentials := peerCredentials(conn)
-	return credentials != nil && credentials.Uid == uint32(os.Geteuid())
-}
