--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -210,18 +210,25 @@
 
 // readLine reads a line of at most limit bytes and returns it without its line end.
 func (b *Body) readLine(limit int) (string, error) {
-	line, err := b.reader.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) || len(line) > limit {
-		return "", fmt.Errorf("%w: line exceeds %d bytes", ErrMalformed, limit)
-	}
-	if err != nil {
-		return "", unexpectedEOF(err)
-	}
-	return strings.TrimSuffix(string(line[:len(line)-1]), "\r"), nil
+	line, err := b.readRawLine(limit)
+	return strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r"), err
 }
 
 // readLineCRLF is like readLine, but the line must end with CRLF. An event's lines end with LF.
 func (b *Body) readLineCRLF(limit int) (string, error) {
+	line, err := b.readRawLine(limit)
+	if err != nil {
+		return "", err
+	}
+	text, found := strings.CutSuffix(line, "\r\n")
+	if !found {
+		return "", fmt.Errorf("%w: line of the trailer without CRLF", ErrMalformed)
+	}
+	return text, nil
+}
+
+// readRawLine reads a line of at most limit bytes with its line end.
+func (b *Body) readRawLine(limit int) (string, error) {
 	line, err := b.reader.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) || len(line) > limit {
 		return "", fmt.Errorf("%w: line exceeds %d bytes", ErrMalformed, limit)
@@ -229,11 +236,7 @@
 	if err != nil {
 		return "", unexpectedEOF(err)
 	}
-	text, found := strings.CutSuffix(string(line), "\r\n")
-	if !found {
-		return "", fmt.Errorf("%w: line of the trailer without CRLF", ErrMalformed)
-	}
-	return text, nil
+	return string(line), nil
 }
 
 // chunkReader reads a chunked body as a stream, without regard to chunk boundaries.
