A process's request ids are recorded by the other before it stops answering

Between the hand-over and its record, a request could ask a process that had ended and be admitted: the reader of the hand-over answers now, and the sender waits for that.

--- a/internal/sibling/sibling.go
+++ b/internal/sibling/sibling.go
@@ -33,13 +33,14 @@
 // The first byte of an exchange, which is followed by ids, each on a line of its own.
 const (
 	commandAsk      = '?' // the answer is known or unknown
-	commandHandOver = '+' // there is no answer
+	commandHandOver = '+' // the answer is recorded
 )
 
-// The answers to commandAsk.
+// The answers, of one byte each.
 const (
-	answerKnown   = '1'
-	answerUnknown = '0'
+	answerKnown    = '1'
+	answerUnknown  = '0'
+	answerRecorded = '+'
 )
 
 // Records are the ids of requests that a process has had.
@@ -138,14 +139,16 @@
 		content, err := io.ReadAll(reader)
 		if err == nil {
 			g.records.AddRequests(strings.Fields(string(content)))
+			_, _ = conn.Write([]byte{answerRecorded}) // else the other process logs that it is missing
 		}
 	}
 }
 
-// HasRequest reports whether another process has had a request. An error means that one didn't answer.
+// HasRequest reports whether another process has had a request. An error means that one didn't answer. A process that
+// can't listen itself can't ask either, and doesn't know of any.
 func (g *Group) HasRequest(id string) (bool, error) {
 	for _, address := range g.others() {
-		answer, err := ask(address, id)
+		answer, err := exchange(address, commandAsk, id)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			continue // no process has this address
 		}
@@ -156,10 +159,13 @@
 	return false, nil
 }
 
-// others returns the addresses that other processes may have.
+// others returns the addresses that other processes may have; none if this process has no address.
 func (g *Group) others() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.own < 0 {
+		return nil
+	}
 	var others []string
 	for i, address := range g.addresses {
 		if i != g.own {
@@ -169,40 +175,34 @@
 	return others
 }
 
-func ask(address, id string) (answer byte, err error) {
-	conn, err := begin(address, commandAsk, id)
+// exchange sends a command to another process and returns its answer.
+func exchange(address string, command byte, ids ...string) (answer byte, err error) {
+	conn, err := net.DialTimeout("unix", address, exchangeTimeout)
 	if err != nil {
 		return 0, err
 	}
 	defer conn.Close()
-	var reply [1]byte
-	_, err = io.ReadFull(conn, reply[:])
-	return reply[0], err
-}
-
-// begin connects to another process and sends a command.
-func begin(address string, command byte, ids ...string) (net.Conn, error) {
-	conn, err := net.DialTimeout("unix", address, exchangeTimeout)
-	if err != nil {
-		return nil, err
-	}
 	_ = conn.SetDeadline(time.Now().Add(exchangeTimeout))
 	if _, err := conn.Write([]byte(string(command) + strings.Join(ids, "\n") + "\n")); err != nil {
-		conn.Close()
-		return nil, err
+		return 0, err
+	}
+	if unixConn, ok := conn.(*net.UnixConn); ok {
+		_ = unixConn.CloseWrite() // the other process reads to the end; if it fails, it gets no answer and says so
 	}
-	return conn, nil
+	var reply [1]byte
+	_, err = io.ReadFull(conn, reply[:])
+	return reply[0], err
 }
 
-// HandOver gives the ids of requests that must not run again to the other processes, before this one ends.
+// HandOver gives the ids of requests that must not run again to the other processes, before this one ends. It waits until they
+// have recorded them.
 func (g *Group) HandOver(ids []string) {
 	if len(ids) == 0 {
 		return
 	}
 	for _, address := range g.others() {
-		conn, err := begin(address, commandHandOver, ids...)
+		_, err := exchange(address, commandHandOver, ids...)
 		if err == nil {
-			conn.Close()
 			slog.Info("request_ids_handed_over", "ids", len(ids))
 		} else if !errors.Is(err, syscall.ECONNREFUSED) {
 			slog.Warn("request_ids_not_handed_over", "ids", len(ids), "err", err)
--- a/internal/sibling/sibling_test.go
+++ b/internal/sibling/sibling_test.go
@@ -58,23 +58,16 @@
 	}
 	old.HandOver([]string{"a", "d"})
 	old.Close()
-	waitUntilKnown(t, next, "d")
-	expect(next, "a", false) // no other process has it any more; the own records do
-}
-
-func waitUntilKnown(t *testing.T, g *Group, id string) {
-	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); !g.records.HasRequest(id); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatalf("%s was not handed over", id)
-		}
+	if !next.records.HasRequest("a") || !next.records.HasRequest("d") {
+		t.Error("not handed over")
 	}
+	expect(next, "a", false) // no other process has it any more; the own records do
 }
 
 // A process that doesn't answer is no proof that it has not had a request, and is waited for only for a while.
 func TestUnresponsiveProcessIsAnError(t *testing.T) {
-	g := New(t.Name()+fmt.Sprint(time.Now().UnixNano()), "127.0.0.1:1")
-	silent, err := net.Listen("unix", g.addresses[0])
+	g, _ := startProcess(t, t.Name()+fmt.Sprint(time.Now().UnixNano()))
+	silent, err := net.Listen("unix", g.addresses[1])
 	if err != nil {
 		t.Fatal(err)
 	}
